--- /dev/null
+++ b/havendyke/__init__.py
@@ -0,0 +1,1 @@
+"""havendyke publishes routing tables to a fleet of proxies."""
--- /dev/null
+++ b/havendyke/rules.py
@@ -0,0 +1,518 @@
+"""havendyke's decisions, all of them, and every tuned value.
+
+A front makes a `Controller(settings, seed)` at each start, gets the objects for the ids it meets from
+`server`, `slice` and `proxy`, and calls `turn(now, events)` with what came in; the list of orders that comes
+back takes effect at `now`. Events, orders and settings are in `interface.py`; times are milliseconds.
+`docs/design.md` says what follows the design page, what departs from it, and when.
+"""
+from collections import deque
+from hashlib import blake2b
+from math import log, log2
+
+from . import interface as core
+
+TICK = 250.0          # how often the plan is looked at without news
+PUSH_GAP = 1000.0     # the design's one gathered push a second
+PROBE_EVERY = 500.0
+DEAD_PROBES = 2       # connects refused or broken in a row
+MUTE_PROBES = 3       # probes unanswered in a row
+BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
+BAD_TRIES = 6.0
+TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
+HALF_LIFE = 2500.0    # tallies are halved this often
+SPARE = 0.02          # weight of a slice's spare line, against 1
+FULL = 1.25           # of its fair part, what a server takes as orphans
+FILL = 5000.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
+FILL_REPORTS = 3
+FILL_REST = 20000.0
+GAP = 1.35            # latency against the median that makes a giver
+SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
+
+CLOSED, ILL, TRIAL, COLD, WARM = range(5)
+
+
+class Tally:
+    """A histogram of a few coarse bins that forgets by halving."""
+
+    def __init__(self, bins):
+        self.bins = [0.0] * bins
+
+    def add(self, at, count):
+        self.bins[max(0, min(len(self.bins) - 1, int(at)))] += count
+
+    def halve(self):
+        self.bins = [b / 2 if b > 0.1 else 0.0 for b in self.bins]
+
+    def clear(self):
+        self.bins = [0.0] * len(self.bins)
+
+    def total(self):
+        return sum(self.bins)
+
+    def middle(self):
+        left = self.total() / 2
+        for at, count in enumerate(self.bins):
+            if count >= left and count:
+                return at + left / count
+            left -= count
+        return None
+
+
+class Server:
+    def __init__(self, ident):
+        self.id = ident
+        self.state, self.started = None, None      # state None: in a line of the store, in no list yet
+        self.zone, self.cell, self.kind, self.size = 0, 0, 0, 1.0
+        self.latency, self.outcomes = Tally(24), Tally(2)
+        self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
+        self.ill_at, self.trial_at, self.down = None, None, False
+        self.load = self.capacity = 0.0
+        self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
+
+
+class Slice:
+    def __init__(self, ident, classes):
+        self.id = ident
+        self.held, self.zone = False, None         # zone: a bound table for classes kept in their zone
+        self.present, self.wanted = {}, {}
+        self.heat, self.heard = Tally(classes), 0.0
+        self.demand, self.moved_at, self.push, self.freed_at = None, -1e9, None, None
+
+    def owner(self):
+        return max(self.wanted, key=self.wanted.get) if self.wanted else None
+
+
+class Proxy:
+    def __init__(self, ident):
+        self.id = ident
+        self.joined, self.rate, self.zone, self.answered, self.bound = False, 1.0, 0, 0, False
+
+
+class Push:
+    def __init__(self, serial, at, each, waits):
+        self.serial, self.at, self.each, self.waits = serial, at, each, waits
+
+
+class Controller:
+    def __init__(self, settings, seed):
+        s = settings
+        self.chance = seed % (1 << 64)
+        self.classes = len(s.classes)
+        self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
+        self.sliced, self.one_owner, self.zones, self.zone = s.slices > 0, s.one_owner, s.zones, s.zone
+        self.hold = max(s.lease, s.lingers) + s.push_delay
+        self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate, s.overhead
+        self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
+        self.cold, self.cold_from = s.cold, s.cold_from
+        self.ask, self.probes, self.sized = s.ask, s.probes, s.sized
+        self.ask_again = s.ask_within / 4
+        self.report_period = s.report_period
+        self.levels = [core.Tries(mask, 1.0 if s.levels != "rate" else 1e6, further)
+                       for further in (1, 2)
+                       if (mask := sum(1 << k for k, c in enumerate(s.classes) if self.further(c) == further))]
+        self.levels_out = False
+        self.servers, self.slices, self.proxies = [], [], []
+        self.pushes, self.serial, self.next_push = deque(), 0, -1e9
+        self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
+        self.asked_at, self.listed, self.booted_at = None, False, None
+        self.urgent = True
+        self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
+        if not self.sliced:
+            for number in range(1 + (s.zones if self.own_zone else 0)):
+                table = self.slice(number)
+                table.held, table.zone = True, number - 1 if number else None
+
+    def further(self, c):
+        # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
+        return 2 if c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience else 1
+
+    def server(self, ident):
+        self.servers.append(Server(ident))
+        return self.servers[-1]
+
+    def slice(self, ident):
+        self.slices.append(Slice(ident, self.classes))
+        return self.slices[-1]
+
+    def proxy(self, ident):
+        self.proxies.append(Proxy(ident))
+        return self.proxies[-1]
+
+    def draw(self):
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return (self.chance >> 33) / (1 << 31)
+
+    # What came in
+
+    def turn(self, now, events):
+        self.now = now
+        orders = []
+        if self.booted_at is None:
+            self.booted_at = now
+            orders.append(core.Timer(0, TICK))
+        for event in events:
+            if type(event) is core.Reminder:
+                orders.append(core.Timer(0, TICK))
+            else:
+                self.TAKES[type(event)](self, event)
+        if self.urgent or now >= self.looked_at + TICK - 1:
+            self.urgent, self.looked_at = False, now
+            self.judge()
+            self.plan()
+            orders += self.emit() + self.ask_around()
+        return orders
+
+    def members(self, event):
+        if event.scope == "failed":
+            self.asked_at = max(self.asked_at or -1e9, self.now - 1.0)
+            return
+        self.listed = self.listed or event.scope != "stale"
+        if event.scope != "changes":
+            named = {id(e.server) for e in event.entries}
+            for server in self.servers:
+                if server.state and id(server) not in named:
+                    server.state = "gone"
+        for e in event.entries:
+            server = e.server
+            started = e.started if e.started is not None else -1e12
+            if server.state is None or server.started is None or started > server.started + 1:
+                server.started = started
+                if self.now - started < self.cold:
+                    self.restart(server)
+            if server.state != e.state:
+                server.state = e.state
+            server.zone, server.cell, server.kind = e.zone, e.cell, e.kind
+            server.size = e.size if self.sized and e.size > 0 else 1.0
+        self.urgent = True
+
+    def restart(self, server):
+        # A server that starts again has an empty past: what was heard before says nothing of it.
+        server.latency.clear()
+        server.outcomes.clear()
+        server.ill_at = server.trial_at = None
+        server.streak = server.mute = 0
+        server.down, server.returning = False, True
+
+    def joined(self, event):
+        p = event.proxy
+        p.joined, p.rate, p.zone, p.answered, p.bound = True, event.rate, event.zone, 0, False
+        self.urgent = self.urgent or not self.sliced
+
+    def parted(self, event):
+        event.proxy.joined, event.proxy.answered = False, 0
+        for push in self.pushes:
+            push.waits.discard(event.proxy)
+
+    def custody(self, event):
+        piece = event.slice
+        piece.held, piece.present, piece.wanted = event.given, {}, {}
+        piece.push = piece.freed_at = None
+        self.urgent = True
+
+    def stored(self, event):
+        event.slice.present[event.server] = event.weight
+        event.slice.wanted[event.server] = event.weight
+        self.urgent = True
+
+    def server_report(self, event):
+        server = event.server
+        if event.tries > event.bad and event.latency > 0:
+            server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
+        server.outcomes.add(0, event.tries - event.bad)
+        server.outcomes.add(1, event.bad)
+        if event.tries > event.bad:
+            server.mute = 0
+
+    def slice_report(self, event):
+        event.slice.heat.add(event.operation, event.count)
+
+    def probed(self, event):
+        server = event.server
+        server.probing = False
+        if event.outcome == "answered":
+            if server.down and server.state == "ready":
+                # It was unreachable and is back: whatever the list says, it may have started anew, cold.
+                server.started = max(server.started, self.now)
+                self.restart(server)
+            server.streak = server.mute = 0
+        elif event.outcome in ("refused", "reset"):
+            server.streak += 1
+        elif event.outcome in ("overdue", "error"):
+            server.mute += 1
+        self.urgent = self.urgent or event.outcome != "answered"
+
+    def caught_up(self, event):
+        for push in self.pushes:
+            if push.serial % 65536 == event.mark and event.proxy.joined:
+                event.proxy.answered = max(event.proxy.answered, push.serial)
+        for push in self.pushes:
+            if push.serial <= event.proxy.answered:
+                push.waits.discard(event.proxy)
+
+    TAKES = {core.Members: members, core.Joined: joined, core.Parted: parted, core.Custody: custody,
+             core.Stored: stored, core.ServerReport: server_report, core.SliceReport: slice_report,
+             core.Probed: probed, core.Answered: caught_up}
+
+    # What is known of servers and slices
+
+    def judge(self):
+        if self.now >= self.halved_at + HALF_LIFE:
+            self.halved_at = self.now
+            for server in self.servers:
+                server.latency.halve()
+                server.outcomes.halve()
+            for piece in self.slices:
+                piece.heat.halve()
+        ready = [s for s in self.servers if s.state == "ready"]
+        suspects = []
+        for server in ready:
+            good, bad = server.outcomes.bins
+            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad)
+            dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
+            if dead or mute or failing:
+                suspects.append((server, dead or mute))
+        if len(suspects) * 2 <= len(ready):
+            # More than half ill at once is more likely our own cut, a stall or overload.
+            for server, down in suspects:
+                server.down = server.down or down
+                if server.ill_at is None or server.trial_at is not None:
+                    server.ill_at, server.trial_at = self.now, None
+                    server.outcomes.clear()
+        for server in ready:
+            if server.ill_at is None:
+                continue
+            if server.trial_at is None and self.now - server.ill_at > TRIAL_AFTER and not server.streak + server.mute:
+                server.trial_at = self.now
+                server.outcomes.clear()
+            elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
+                server.ill_at, server.trial_at, server.returning = None, None, True
+        middles = sorted(m for s in ready if (m := s.latency.middle()) is not None)
+        median = middles[len(middles) // 2] if middles else None
+        for server in self.servers:
+            at = server.latency.middle()
+            server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
+            age = self.now - server.started if server.started is not None else 1e12
+            warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
+            server.capacity = server.size * warmth / max(0.7, min(1.4, server.heat))
+            server.grade = (CLOSED if server.state != "ready" and (server.state or self.settled_list())
+                            else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
+                            else COLD if warmth < 1 else WARM)
+
+    def settled_list(self):
+        # A stale list at a start may lack what the store's lines name; the new one comes soon after.
+        return self.listed or self.now - self.booted_at > 3000.0
+
+    # What should be out
+
+    def plan(self):
+        mine = [p for p in self.slices if p.held]
+        if not self.sliced:
+            for table in mine:
+                self.spread(table)
+            return
+        self.weigh(mine)
+        lost = [p for p in mine if (o := p.owner()) is None or o.grade <= TRIAL]
+        for server in self.servers:
+            if server.grade == COLD:
+                lost += self.over_cold(server, mine)
+        for piece in sorted(lost, key=lambda p: -p.demand):
+            self.move(piece, self.choose(piece, [s for s in self.servers if s is not piece.owner()]) or piece.owner())
+        if self.one_owner:
+            return
+        self.refill(mine)
+        self.fill(mine)
+        for piece in mine:
+            self.spare(piece)
+
+    def weigh(self, mine):
+        raw = [sum(w * b for w, b in zip(self.work, p.heat.bins)) for p in mine]
+        mean = sum(raw) / len(raw) if raw else 0.0
+        for server in self.servers:
+            server.load = 0.0
+        for piece, heat in zip(mine, raw):
+            piece.demand = 0.1 + 0.9 * heat / mean if mean else 1.0
+            if owner := piece.owner():
+                owner.load += piece.demand
+        usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
+        self.fair = sum(p.demand for p in mine) / usable if usable else 1e9
+
+    def over_cold(self, server, mine):
+        # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
+        over, cut = server.load - 1.5 * self.fair * server.capacity, []
+        for piece in sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand):
+            if over > 0:
+                cut.append(piece)
+                over -= piece.demand
+        return cut
+
+    def score(self, piece, server):
+        mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
+        return -max(server.capacity, 1e-6) / log((int.from_bytes(mixed) + 1) / (1 << 56))
+
+    def choose(self, piece, pool):
+        spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
+        for some in (spares, pool):
+            fit = [s for s in some if s.grade >= COLD
+                   and s.load + piece.demand <= FULL * self.fair * s.capacity]
+            if fit:
+                return max(fit, key=lambda s: self.score(piece, s))
+        for grades in ((WARM, COLD), (TRIAL, ILL)):
+            some = [s for s in pool if s.grade in grades]
+            if some:
+                return min(some, key=lambda s: (s.load + piece.demand) / max(s.capacity, 1e-6))
+        return None
+
+    def move(self, piece, to):
+        old = piece.owner()
+        if to is old and to is not None and to.grade > CLOSED:
+            return
+        piece.wanted = {s: w for s, w in piece.wanted.items() if s is not old and s is not to and w < 1}
+        if to is not None and to.grade > CLOSED:
+            piece.wanted[to] = 1.0
+            to.load += piece.demand
+            to.got_at = piece.moved_at = self.now
+            piece.push = None
+        if old is not None:
+            old.load -= piece.demand
+
+    def settled(self, piece):
+        if piece.push is None:
+            return piece.wanted == piece.present
+        rates = [(p.rate, p.answered >= piece.push) for p in self.proxies if p.joined]
+        return sum(r for r, done in rates if done) >= SETTLED * sum(r for r, _ in rates)
+
+    def refill(self, mine):
+        for server in [s for s in self.servers if s.returning and s.grade >= COLD]:
+            part = server.load / max(self.fair * server.capacity, 1e-6)
+            if part > 0.9 and server.grade == WARM:
+                server.returning = False
+            if part > 0.8 or self.now - server.got_at < PUSH_GAP:
+                continue
+            room = self.fair * server.capacity - server.load
+            fits = [p for p in mine if (o := p.owner()) is not server and o and p.demand <= room
+                    and o.load - p.demand >= 0.9 * self.fair * o.capacity and self.settled(p)]
+            if fits:
+                self.move(max(fits, key=lambda p: (p.owner().load / max(p.owner().capacity, 1e-6), p.demand)), server)
+
+    def fill(self, mine):
+        if self.now >= self.reported_at + self.report_period:
+            self.reported_at = self.now
+            for server in self.servers:
+                server.hot = server.hot + 1 if server.heat > GAP else 0
+        givers = [s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD]
+        if not givers or self.now < self.filled_at + FILL:
+            return
+        giver = max(givers, key=lambda s: s.heat)
+        cooler = [s for s in self.servers if s.grade == WARM and s.heat < 1.0 and self.now - s.got_at > FILL]
+        for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
+            fit = [s for s in cooler if s.load + piece.demand <= 1.1 * FULL * self.fair * s.capacity]
+            if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece) and giver.load > piece.demand:
+                self.move(piece, min(fit, key=lambda s: (s.heat, s.load)))
+                self.filled_at = self.now
+                return
+
+    def spare(self, piece):
+        owner = piece.owner()
+        spares = [s for s in piece.wanted if s is not owner]
+        if owner is None or spares and all(s.grade == WARM for s in spares) and len(spares) == 1:
+            return
+        good = [s for s in self.servers if s.grade in (TRIAL, WARM) and s is not owner]
+        away = [s for s in good if s.zone != owner.zone] or good
+        piece.wanted = {owner: piece.wanted[owner]}
+        if away:
+            piece.wanted[max(away, key=lambda s: self.score(piece, s))] = SPARE
+
+    def spread(self, table):
+        # Sites without slices: one table of all that may be used, by capacity in coarse steps.
+        zoned = [s for s in self.servers if table.zone is None or s.zone == table.zone]
+        for grades in ((WARM, COLD), (TRIAL, ILL)):
+            use = [s for s in zoned if s.grade in grades]
+            if use:
+                break
+        if any(s.grade == WARM for s in use):
+            # Cold servers come in by warmth; their part of all traffic stays what they can surely do.
+            use = [s for s in use if s.grade != COLD or s.capacity > 0.3 * s.size]
+        table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
+
+    # Orders
+
+    def waiting(self):
+        while self.pushes and not self.pushes[0].waits:
+            self.pushes.popleft()
+        # Messages leave one after the other: an answer to a push says that all before it have left.
+        left = max((p.answered for p in self.proxies), default=0)
+        lines = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
+        oldest = min((push.at for push in self.pushes if push.serial >= left), default=self.now)
+        return max(0.0, lines - (self.now - oldest) * self.pace / 8)
+
+    def emit(self):
+        """The one place where the difference between wanted and present becomes orders."""
+        if self.now < self.next_push:
+            return []
+        joined = [p for p in self.proxies if p.joined]
+        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - len(self.levels)
+        orders, moved = [], []
+        if joined and not self.levels_out and room > len(self.levels):
+            orders += self.levels
+            self.levels_out = True
+        for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
+            lines = self.difference(piece)
+            if lines and len(orders) + len(lines) <= room:
+                orders += lines
+                moved.append(piece)
+        if not self.sliced:
+            for p in joined:
+                if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= room:
+                    p.bound = True
+                    orders += self.binding(p)
+        if not orders:
+            return []
+        self.serial += 1
+        for piece in moved:
+            piece.push = self.serial
+        each = len(orders) + self.head + len(self.levels)
+        self.pushes.append(Push(self.serial, self.now, each, set(joined)))
+        self.next_push = self.now + self.gap
+        return orders + [core.Mark(self.serial % 65536, False)]
+
+    def pressing(self, piece):
+        gone = [s.grade for s in piece.present if s not in piece.wanted]
+        return min(gone, default=WARM + 1), -(piece.demand or 0.0)
+
+    def difference(self, piece):
+        if self.one_owner:
+            return self.hand_over(piece)
+        lines = [core.Line(piece, s, w) for s, w in piece.wanted.items() if piece.present.get(s) != w]
+        lines += [core.Line(piece, s, 0.0) for s in piece.present if s not in piece.wanted]
+        piece.present = dict(piece.wanted)
+        return lines
+
+    def hand_over(self, piece):
+        # A sole owner's writes must have ended everywhere before the next owner's begin.
+        if piece.present:
+            piece.present, piece.freed_at = {}, self.now
+            return [core.Clear(piece)]
+        if piece.freed_at is not None and (self.now - piece.freed_at < self.hold or not self.settled(piece)):
+            return []
+        piece.present, piece.freed_at = dict(piece.wanted), None
+        return [core.Line(piece, s, w) for s, w in piece.wanted.items()]
+
+    def binding(self, proxy):
+        orders = [core.Bind(proxy, self.slices[0], 0)]
+        if self.own_zone and 1 + proxy.zone < len(self.slices):
+            orders.append(core.Bind(proxy, self.slices[1 + proxy.zone], self.own_zone))
+        return orders
+
+    def ask_around(self):
+        orders = []
+        if self.ask and (self.asked_at is None):
+            self.asked_at = self.now
+            orders.append(core.Follow())
+        if self.probes:
+            for server in self.servers:
+                every = PROBE_EVERY if not server.streak + server.mute else TICK
+                if server.state == "ready" and self.now - server.probed_at > every - 1 and (
+                        not server.probing or self.now - server.probed_at > 4 * PROBE_EVERY):
+                    server.probed_at, server.probing = self.now, True
+                    orders.append(core.Probe(server))
+        return orders
