--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -11,6 +11,7 @@
 
 from . import interface as core
 
+SLOWEST = 8.0         # how many times slower than stated the channel may be
 TICK = 250.0          # how often the plan is looked at without news
 PUSH_GAP = 1000.0     # the design's one gathered push a second
 PROBE_EVERY = 500.0
@@ -18,9 +19,11 @@
 MUTE_PROBES = 3       # probes unanswered in a row
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
+SLOW = 1.5            # latency against the median: failing beyond it is taken for overload
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
+COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
 FILL_REPORTS = 3
@@ -113,9 +116,10 @@
         self.levels_out = False
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
+        self.queued = self.queued_at = 0.0
         self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
-        self.urgent = True
+        self.urgent, self.fleet = True, 0.0
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -267,7 +271,8 @@
         suspects = []
         for server in ready:
             good, bad = server.outcomes.bins
-            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad)
+            # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
+            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and server.heat < SLOW
             dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
             if dead or mute or failing:
                 suspects.append((server, dead or mute))
@@ -333,12 +338,21 @@
             piece.demand = 0.1 + 0.9 * heat / mean if mean else 1.0
             if owner := piece.owner():
                 owner.load += piece.demand
+        total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
-        self.fair = sum(p.demand for p in mine) / usable if usable else 1e9
+        self.fair = total / usable if usable else 1e9
+        # What a cold server may hold goes by the fleet at its largest: with many lost, the fair part would fell it.
+        self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
+        self.usual = total / self.fleet if self.fleet else 0.0
+
+    def fits(self, server, demand, part):
+        if server.grade == COLD:
+            return server.load + demand <= COLD_PART * self.usual * server.capacity
+        return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def over_cold(self, server, mine):
         # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-        over, cut = server.load - 1.5 * self.fair * server.capacity, []
+        over, cut = server.load - 1.4 * COLD_PART * self.usual * server.capacity, []
         for piece in sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand):
             if over > 0:
                 cut.append(piece)
@@ -352,12 +366,11 @@
     def choose(self, piece, pool):
         spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
         for some in (spares, pool):
-            fit = [s for s in some if s.grade >= COLD
-                   and s.load + piece.demand <= FULL * self.fair * s.capacity]
+            fit = [s for s in some if self.fits(s, piece.demand, FULL)]
             if fit:
                 return max(fit, key=lambda s: self.score(piece, s))
-        for grades in ((WARM, COLD), (TRIAL, ILL)):
-            some = [s for s in pool if s.grade in grades]
+        for grade in (WARM, TRIAL, ILL, COLD):
+            some = [s for s in pool if s.grade == grade]
             if some:
                 return min(some, key=lambda s: (s.load + piece.demand) / max(s.capacity, 1e-6))
         return None
@@ -383,13 +396,11 @@
 
     def refill(self, mine):
         for server in [s for s in self.servers if s.returning and s.grade >= COLD]:
-            part = server.load / max(self.fair * server.capacity, 1e-6)
-            if part > 0.9 and server.grade == WARM:
+            if server.load > 0.8 * self.fair * server.capacity and server.grade == WARM:
                 server.returning = False
-            if part > 0.8 or self.now - server.got_at < PUSH_GAP:
+            if self.now - server.got_at < PUSH_GAP:
                 continue
-            room = self.fair * server.capacity - server.load
-            fits = [p for p in mine if (o := p.owner()) is not server and o and p.demand <= room
+            fits = [p for p in mine if (o := p.owner()) is not server and o and self.fits(server, p.demand, 0.9)
                     and o.load - p.demand >= 0.9 * self.fair * o.capacity and self.settled(p)]
             if fits:
                 self.move(max(fits, key=lambda p: (p.owner().load / max(p.owner().capacity, 1e-6), p.demand)), server)
@@ -405,7 +416,7 @@
         giver = max(givers, key=lambda s: s.heat)
         cooler = [s for s in self.servers if s.grade == WARM and s.heat < 1.0 and self.now - s.got_at > FILL]
         for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
-            fit = [s for s in cooler if s.load + piece.demand <= 1.1 * FULL * self.fair * s.capacity]
+            fit = [s for s in cooler if self.fits(s, piece.demand, FULL)]
             if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece) and giver.load > piece.demand:
                 self.move(piece, min(fit, key=lambda s: (s.heat, s.load)))
                 self.filled_at = self.now
@@ -441,9 +452,11 @@
             self.pushes.popleft()
         # Messages leave one after the other: an answer to a push says that all before it have left.
         left = max((p.answered for p in self.proxies), default=0)
-        lines = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
-        oldest = min((push.at for push in self.pushes if push.serial >= left), default=self.now)
-        return max(0.0, lines - (self.now - oldest) * self.pace / 8)
+        unanswered = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
+        # Proxies that stand still do not answer; the channel empties all the same, at its slowest pace at least.
+        self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace / SLOWEST)
+        self.queued_at = self.now
+        return min(unanswered, self.queued)
 
     def emit(self):
         """The one place where the difference between wanted and present becomes orders."""
@@ -472,6 +485,7 @@
             piece.push = self.serial
         each = len(orders) + self.head + len(self.levels)
         self.pushes.append(Push(self.serial, self.now, each, set(joined)))
+        self.queued += each * len(joined)
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, False)]
 
