--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -128,7 +128,7 @@
 
     def further(self, c):
         # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
-        return 2 if c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience else 1
+        return 1
 
     def server(self, ident):
         self.servers.append(Server(ident))
