Lines that did not fit into a push stay wanted; the channel's slowest pace in ms

Cause of broken drains under a slow channel: a slice's record said pushed although its lines were left out for lack of room. Cause of the broken queue: pace in lines a second met times in ms.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -104,7 +104,7 @@
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner, self.zones, self.zone = s.slices > 0, s.one_owner, s.zones, s.zone
         self.hold = max(s.lease, s.lingers) + s.push_delay
-        self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate, s.overhead
+        self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.cold, self.cold_from = s.cold, s.cold_from
         self.ask, self.probes, self.sized = s.ask, s.probes, s.sized
@@ -454,7 +454,7 @@
         left = max((p.answered for p in self.proxies), default=0)
         unanswered = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
         # Proxies that stand still do not answer; the channel empties all the same, at its slowest pace at least.
-        self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace / SLOWEST)
+        self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace)
         self.queued_at = self.now
         return min(unanswered, self.queued)
 
@@ -463,15 +463,17 @@
         if self.now < self.next_push:
             return []
         joined = [p for p in self.proxies if p.joined]
-        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - len(self.levels)
+        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - len(self.levels) - 1
         orders, moved = [], []
         if joined and not self.levels_out and room > len(self.levels):
             orders += self.levels
             self.levels_out = True
         for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
-            lines = self.difference(piece)
+            lines, left = self.difference(piece)
             if lines and len(orders) + len(lines) <= room:
                 orders += lines
+                piece.present = left
+                piece.freed_at = self.now if not left else None
                 moved.append(piece)
         if not self.sliced:
             for p in joined:
@@ -483,7 +485,7 @@
         self.serial += 1
         for piece in moved:
             piece.push = self.serial
-        each = len(orders) + self.head + len(self.levels)
+        each = len(orders) + 1 + self.head + len(self.levels)
         self.pushes.append(Push(self.serial, self.now, each, set(joined)))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
@@ -494,22 +496,15 @@
         return min(gone, default=WARM + 1), -(piece.demand or 0.0)
 
     def difference(self, piece):
-        if self.one_owner:
-            return self.hand_over(piece)
+        if self.one_owner and piece.present:
+            return [core.Clear(piece)], {}
+        # A sole owner's writes must have ended everywhere before the next owner's begin.
+        if self.one_owner and piece.freed_at is not None and (
+                self.now - piece.freed_at < self.hold or not self.settled(piece)):
+            return [], {}
         lines = [core.Line(piece, s, w) for s, w in piece.wanted.items() if piece.present.get(s) != w]
         lines += [core.Line(piece, s, 0.0) for s in piece.present if s not in piece.wanted]
-        piece.present = dict(piece.wanted)
-        return lines
-
-    def hand_over(self, piece):
-        # A sole owner's writes must have ended everywhere before the next owner's begin.
-        if piece.present:
-            piece.present, piece.freed_at = {}, self.now
-            return [core.Clear(piece)]
-        if piece.freed_at is not None and (self.now - piece.freed_at < self.hold or not self.settled(piece)):
-            return []
-        piece.present, piece.freed_at = dict(piece.wanted), None
-        return [core.Line(piece, s, w) for s, w in piece.wanted.items()]
+        return lines, dict(piece.wanted)
 
     def binding(self, proxy):
         orders = [core.Bind(proxy, self.slices[0], 0)]
