No server is emptied for failing while the middle server fails too

Told from failing servers by the middle server's share of bad tries. Could do harm when more than half of the servers fail for a cause of their own: then nobody is emptied, save for refused connects.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,6 +19,7 @@
 MUTE_PROBES = 3       # probes unanswered in a row
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
+STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 SLOW = 1.5            # latency against the median: failing beyond it is taken for overload
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
 HALF_LIFE = 2500.0    # tallies are halved this often
@@ -119,7 +120,7 @@
         self.queued = self.queued_at = 0.0
         self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
-        self.urgent, self.fleet = True, 0.0
+        self.urgent, self.fleet, self.strained = True, 0.0, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -269,12 +270,17 @@
                 piece.heat.halve()
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
+        shares = sorted(s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready)
+        # Where the middle server fails too, it is the whole fleet that is full: no server is emptied for that,
+        # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
+        middle = shares[len(shares) // 2] if shares else 0.0
+        self.strained = middle > (0.02 if self.strained else STRAIN)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and server.heat < SLOW
             dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
-            if dead or mute or failing:
+            if dead or (mute or failing) and not self.strained:
                 suspects.append((server, dead or mute))
         if len(suspects) * 2 <= len(ready):
             # More than half ill at once is more likely our own cut, a stall or overload.
