--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -26,9 +26,9 @@
 SPARE = 0.02          # weight of a slice's spare line, against 1
 COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
-FILL = 5000.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
-FILL_REPORTS = 3
-FILL_REST = 20000.0
+FILL = 1500.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
+FILL_REPORTS = 2
+FILL_REST = 8000.0
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
