--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -53,21 +53,25 @@
     def total(self):
         return sum(self.bins)
 
-    def middle(self):
-        left = self.total() / 2
+    def at(self, part):
+        left = self.total() * part
         for at, count in enumerate(self.bins):
-            if count >= left and count:
+            if count and count >= left:
                 return at + left / count
             left -= count
         return None
 
 
+def middle_of(values, default):
+    return sorted(values)[len(values) // 2] if values else default
+
+
 class Server:
     def __init__(self, ident):
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.cell, self.kind, self.size = 0, 0, 0, 1.0
-        self.latency, self.outcomes = Tally(24), Tally(2)
+        self.latency, self.floor, self.outcomes = Tally(24), Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
         self.ill_at, self.trial_at, self.down = None, None, False
         self.load = self.capacity = 0.0
@@ -118,6 +122,7 @@
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
+        self.halvings = 0
         self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
         self.urgent, self.fleet, self.strained = True, 0.0, False
@@ -193,6 +198,7 @@
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
         server.latency.clear()
+        server.floor.clear()
         server.outcomes.clear()
         server.ill_at = server.trial_at = None
         server.streak = server.mute = 0
@@ -222,7 +228,9 @@
     def server_report(self, event):
         server = event.server
         if event.tries > event.bad and event.latency > 0:
-            server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
+            at = 3 * log2(max(event.latency, 8.0) / 8.0)
+            server.latency.add(at, event.tries - event.bad)
+            server.floor.add(at, 1.0)
         server.outcomes.add(0, event.tries - event.bad)
         server.outcomes.add(1, event.bad)
         if event.tries > event.bad:
@@ -262,18 +270,19 @@
 
     def judge(self):
         if self.now >= self.halved_at + HALF_LIFE:
-            self.halved_at = self.now
+            self.halved_at, self.halvings = self.now, self.halvings + 1
             for server in self.servers:
                 server.latency.halve()
                 server.outcomes.halve()
+                if self.halvings % 5 == 0:
+                    server.floor.halve()
             for piece in self.slices:
                 piece.heat.halve()
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
-        shares = sorted(s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready)
         # Where the middle server fails too, it is the whole fleet that is full: no server is emptied for that,
         # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
-        middle = shares[len(shares) // 2] if shares else 0.0
+        middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
         self.strained = middle > (0.02 if self.strained else STRAIN)
         for server in ready:
             good, bad = server.outcomes.bins
@@ -297,14 +306,19 @@
                 server.outcomes.clear()
             elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
                 server.ill_at, server.trial_at, server.returning = None, None, True
-        middles = sorted(m for s in ready if (m := s.latency.middle()) is not None)
-        median = middles[len(middles) // 2] if middles else None
+        floor = middle_of([f for s in ready if (f := s.floor.at(0.25)) is not None], 0.0)
+        rises = {s: at - min(s.floor.at(0.25), floor + 3) for s in ready if (at := s.latency.at(0.5)) is not None
+                 and s.floor.total()}
+        rise = middle_of(list(rises.values()), 0.0)
         for server in self.servers:
-            at = server.latency.middle()
-            server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
+            # Latency against the median, once each server's own floor is taken out: a slow machine is not a hot
+            # one. A floor is believed up to twice the middle one, else a server full from the start looks cool.
+            server.heat = 2 ** ((rises.get(server, rise) - rise) / 3)
+            own = server.floor.at(0.25)
+            speed = 1.0 if own is None else 2 ** (max(-2.0, min(2.0, floor - own)) / 6)
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
-            server.capacity = server.size * warmth / max(0.7, min(1.4, server.heat))
+            server.capacity = server.size * speed * warmth / max(0.7, min(1.4, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or self.settled_list())
                             else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
                             else COLD if warmth < 1 else WARM)
