--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,6 +19,7 @@
 MUTE_PROBES = 3       # probes unanswered in a row
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
+CALM = 0.01           # and is not so any more
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 SLOW = 1.5            # latency against the median: failing beyond it is taken for overload
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
@@ -53,10 +54,10 @@
     def total(self):
         return sum(self.bins)
 
-    def at(self, part):
-        left = self.total() * part
+    def middle(self):
+        left = self.total() / 2
         for at, count in enumerate(self.bins):
-            if count and count >= left:
+            if count >= left and count:
                 return at + left / count
             left -= count
         return None
@@ -71,7 +72,7 @@
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.cell, self.kind, self.size = 0, 0, 0, 1.0
-        self.latency, self.floor, self.outcomes = Tally(24), Tally(24), Tally(2)
+        self.latency, self.outcomes = Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
         self.ill_at, self.trial_at, self.down = None, None, False
         self.load = self.capacity = 0.0
@@ -115,14 +116,15 @@
         self.ask, self.probes, self.sized = s.ask, s.probes, s.sized
         self.ask_again = s.ask_within / 4
         self.report_period = s.report_period
-        self.levels = [core.Tries(mask, 1.0 if s.levels != "rate" else 1e6, further)
-                       for further in (1, 2)
-                       if (mask := sum(1 << k for k, c in enumerate(s.classes) if self.further(c) == further))]
-        self.levels_out = False
+        # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
+        again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
+                 for c in s.classes]
+        self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
+        self.all_classes, self.level = (1 << self.classes) - 1, 1e6 if s.levels == "rate" else 1.0
+        self.levels = []
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
-        self.halvings = 0
         self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
         self.urgent, self.fleet, self.strained = True, 0.0, False
@@ -132,10 +134,6 @@
                 table = self.slice(number)
                 table.held, table.zone = True, number - 1 if number else None
 
-    def further(self, c):
-        # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
-        return 1
-
     def server(self, ident):
         self.servers.append(Server(ident))
         return self.servers[-1]
@@ -198,7 +196,6 @@
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
         server.latency.clear()
-        server.floor.clear()
         server.outcomes.clear()
         server.ill_at = server.trial_at = None
         server.streak = server.mute = 0
@@ -228,9 +225,7 @@
     def server_report(self, event):
         server = event.server
         if event.tries > event.bad and event.latency > 0:
-            at = 3 * log2(max(event.latency, 8.0) / 8.0)
-            server.latency.add(at, event.tries - event.bad)
-            server.floor.add(at, 1.0)
+            server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
         server.outcomes.add(0, event.tries - event.bad)
         server.outcomes.add(1, event.bad)
         if event.tries > event.bad:
@@ -270,12 +265,10 @@
 
     def judge(self):
         if self.now >= self.halved_at + HALF_LIFE:
-            self.halved_at, self.halvings = self.now, self.halvings + 1
+            self.halved_at = self.now
             for server in self.servers:
                 server.latency.halve()
                 server.outcomes.halve()
-                if self.halvings % 5 == 0:
-                    server.floor.halve()
             for piece in self.slices:
                 piece.heat.halve()
         ready = [s for s in self.servers if s.state == "ready"]
@@ -283,7 +276,7 @@
         # Where the middle server fails too, it is the whole fleet that is full: no server is emptied for that,
         # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
-        self.strained = middle > (0.02 if self.strained else STRAIN)
+        self.strained = middle > (CALM if self.strained else STRAIN)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
@@ -306,19 +299,13 @@
                 server.outcomes.clear()
             elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
                 server.ill_at, server.trial_at, server.returning = None, None, True
-        floor = middle_of([f for s in ready if (f := s.floor.at(0.25)) is not None], 0.0)
-        rises = {s: at - min(s.floor.at(0.25), floor + 3) for s in ready if (at := s.latency.at(0.5)) is not None
-                 and s.floor.total()}
-        rise = middle_of(list(rises.values()), 0.0)
+        median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
         for server in self.servers:
-            # Latency against the median, once each server's own floor is taken out: a slow machine is not a hot
-            # one. A floor is believed up to twice the middle one, else a server full from the start looks cool.
-            server.heat = 2 ** ((rises.get(server, rise) - rise) / 3)
-            own = server.floor.at(0.25)
-            speed = 1.0 if own is None else 2 ** (max(-2.0, min(2.0, floor - own)) / 6)
+            at = server.latency.middle()
+            server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
-            server.capacity = server.size * speed * warmth / max(0.7, min(1.4, server.heat))
+            server.capacity = server.size * warmth / max(0.7, min(1.4, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or self.settled_list())
                             else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
                             else COLD if warmth < 1 else WARM)
@@ -483,11 +470,12 @@
         if self.now < self.next_push:
             return []
         joined = [p for p in self.proxies if p.joined]
-        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - len(self.levels) - 1
+        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - 4
         orders, moved = [], []
-        if joined and not self.levels_out and room > len(self.levels):
-            orders += self.levels
-            self.levels_out = True
+        levels = self.tries()
+        if joined and levels != self.levels and room > len(levels):
+            orders += [level for level in levels if level not in self.levels]
+            self.levels = levels
         for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
             lines, left = self.difference(piece)
             if lines and len(orders) + len(lines) <= room:
@@ -511,6 +499,12 @@
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, False)]
 
+    def tries(self):
+        # Further tries after any failure help against single servers, and drown a fleet that is full.
+        keen = 0 if self.strained else self.repeatable
+        return [core.Tries(mask, self.level, further)
+                for mask, further in ((self.all_classes & ~keen, 1), (keen, 2)) if mask]
+
     def pressing(self, piece):
         gone = [s.grade for s in piece.present if s not in piece.wanted]
         return min(gone, default=WARM + 1), -(piece.demand or 0.0)
