--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,7 +19,8 @@
 MUTE_PROBES = 3       # probes unanswered in a row
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
-CALM = 0.01           # and is not so any more
+CALM = 0.02           # and is not so any more
+BUSY = 0.08           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 SLOW = 1.5            # latency against the median: failing beyond it is taken for overload
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
@@ -128,6 +129,7 @@
         self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
         self.urgent, self.fleet, self.strained = True, 0.0, False
+        self.busy = False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -277,6 +279,8 @@
         # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
         self.strained = middle > (CALM if self.strained else STRAIN)
+        tries, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
+        self.busy = bad > (CALM if self.busy else BUSY) * (tries + bad)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
@@ -501,7 +505,7 @@
 
     def tries(self):
         # Further tries after any failure help against single servers, and drown a fleet that is full.
-        keen = 0 if self.strained else self.repeatable
+        keen = 0 if self.strained or self.busy else self.repeatable
         return [core.Tries(mask, self.level, further)
                 for mask, further in ((self.all_classes & ~keen, 1), (keen, 2)) if mask]
 
