--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -31,6 +31,7 @@
 FILL = 1500.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
 FILL_REPORTS = 2
 FILL_REST = 8000.0
+CROWDED = 1.5         # of its fair part of the demand makes a giver too
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
@@ -343,6 +344,7 @@
     def weigh(self, mine):
         raw = [sum(w * b for w, b in zip(self.work, p.heat.bins)) for p in mine]
         mean = sum(raw) / len(raw) if raw else 0.0
+        self.heard = mean > 0
         for server in self.servers:
             server.load = 0.0
         for piece, heat in zip(mine, raw):
@@ -420,18 +422,24 @@
         if self.now >= self.reported_at + self.report_period:
             self.reported_at = self.now
             for server in self.servers:
-                server.hot = server.hot + 1 if server.heat > GAP else 0
-        givers = [s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD]
-        if not givers or self.now < self.filled_at + FILL:
+                # Demand shows a crowded server seconds before its latency does, and where latency is silent.
+                server.hot = server.hot + 1 if server.heat > GAP or self.part(server) > CROWDED else 0
+        if self.now < self.filled_at + FILL or not self.heard:
             return
-        giver = max(givers, key=lambda s: s.heat)
-        cooler = [s for s in self.servers if s.grade == WARM and s.heat < 1.0 and self.now - s.got_at > FILL]
-        for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
-            fit = [s for s in cooler if self.fits(s, piece.demand, FULL)]
-            if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece) and giver.load > piece.demand:
-                self.move(piece, min(fit, key=lambda s: (s.heat, s.load)))
-                self.filled_at = self.now
-                return
+        self.filled_at = self.now
+        for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD),
+                            key=lambda s: -max(s.heat, self.part(s))):
+            cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
+                      and self.now - s.got_at > FILL]
+            for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
+                fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
+                       and self.part(s, piece.demand) < self.part(giver)]
+                if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
+                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand)))
+                    break
+
+    def part(self, server, more=0.0):
+        return (server.load + more) / max(self.fair * server.capacity, 1e-6)
 
     def spare(self, piece):
         owner = piece.owner()
