--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -423,7 +423,9 @@
             self.reported_at = self.now
             for server in self.servers:
                 # Demand shows a crowded server seconds before its latency does, and where latency is silent.
-                server.hot = server.hot + 1 if server.heat > GAP or self.part(server) > CROWDED else 0
+                # Where the list states no sizes, a part of the demand tells nothing of fullness.
+                crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
+                server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
         if self.now < self.filled_at + FILL or not self.heard:
             return
         self.filled_at = self.now
@@ -433,9 +435,9 @@
                       and self.now - s.got_at > FILL]
             for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
-                       and self.part(s, piece.demand) < self.part(giver)]
+                       and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
-                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand)))
+                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat)))
                     break
 
     def part(self, server, more=0.0):
