--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -28,9 +28,9 @@
 SPARE = 0.02          # weight of a slice's spare line, against 1
 COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
-FILL = 1500.0         # the filler's period, reports that a gap must hold, and a slice's rest after a move
-FILL_REPORTS = 2
-FILL_REST = 8000.0
+FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
+FILL_REPORTS = 2      # that a gap must hold
+FILL_REST = 8000.0    # of a slice after a move
 CROWDED = 1.5         # of its fair part of the demand makes a giver too
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
@@ -79,6 +79,7 @@
         self.ill_at, self.trial_at, self.down = None, None, False
         self.load = self.capacity = 0.0
         self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
+        self.gave_at = -1e9
 
 
 class Slice:
@@ -127,7 +128,7 @@
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
-        self.now = self.looked_at = self.halved_at = self.filled_at = self.reported_at = -1e9
+        self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
         self.asked_at, self.listed, self.booted_at = None, False, None
         self.urgent, self.fleet, self.strained = True, 0.0, False
         self.busy = False
@@ -426,18 +427,21 @@
                 # Where the list states no sizes, a part of the demand tells nothing of fullness.
                 crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
                 server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
-        if self.now < self.filled_at + FILL or not self.heard:
+        if not self.heard:
             return
-        self.filled_at = self.now
-        for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD),
+        for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
+                             and self.now - max(s.gave_at, s.got_at) > FILL),
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
-                      and self.now - s.got_at > FILL]
+                      and self.now - max(s.gave_at, s.got_at) > FILL]
             for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
-                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat)))
+                    fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
+                    # Chance between the two best: other controllers see the same coolest server.
+                    self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
+                    giver.gave_at = self.now
                     break
 
     def part(self, server, more=0.0):
