--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -26,6 +26,9 @@
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
+LEVEL_EVERY = 2000.0  # levels go down by a quarter while the fleet is full, and up by LEVEL_UP
+LEVEL_UP = 0.05
+LEVEL_LEAST = 0.15
 COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
@@ -124,6 +127,7 @@
                  for c in s.classes]
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
         self.all_classes, self.level = (1 << self.classes) - 1, 1e6 if s.levels == "rate" else 1.0
+        self.sheds, self.levelled_at = s.levels == "share", -1e9
         self.levels = []
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
@@ -170,6 +174,7 @@
         if self.urgent or now >= self.looked_at + TICK - 1:
             self.urgent, self.looked_at = False, now
             self.judge()
+            self.shed()
             self.plan()
             orders += self.emit() + self.ask_around()
         return orders
@@ -316,6 +321,16 @@
                             else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
                             else COLD if warmth < 1 else WARM)
 
+    def shed(self):
+        # A full fleet works on what clients have given up: letting less in is the only way out of the jam.
+        if not self.sheds or self.now < self.levelled_at + LEVEL_EVERY:
+            return
+        self.levelled_at = self.now
+        if self.strained:
+            self.level = max(LEVEL_LEAST, 0.75 * self.level)
+        elif not self.busy:
+            self.level = min(1.0, self.level + LEVEL_UP)
+
     def settled_list(self):
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         return self.listed or self.now - self.booted_at > 3000.0
@@ -357,16 +372,18 @@
         self.fair = total / usable if usable else 1e9
         # What a cold server may hold goes by the fleet at its largest: with many lost, the fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
+        # A full fleet's clients come several times over, to a cold server too.
+        self.cold_part = COLD_PART / 3 if self.strained else COLD_PART
         self.usual = total / self.fleet if self.fleet else 0.0
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
-            return server.load + demand <= COLD_PART * self.usual * server.capacity
+            return server.load + demand <= self.cold_part * self.usual * server.capacity
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def over_cold(self, server, mine):
         # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-        over, cut = server.load - 1.4 * COLD_PART * self.usual * server.capacity, []
+        over, cut = server.load - 1.4 * self.cold_part * self.usual * server.capacity, []
         for piece in sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand):
             if over > 0:
                 cut.append(piece)
