Levels go at once to what the fleet answered of what came, by fresh counts

Cause of the overshoot before: the sign forgot slower than the fleet recovered (level at its least for 15 s on an idle fleet).

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -26,9 +26,10 @@
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
-LEVEL_EVERY = 2000.0  # levels go down by a quarter while the fleet is full, and up by LEVEL_UP
+LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
+LEVEL_AIM = 0.9
 LEVEL_UP = 0.05
-LEVEL_LEAST = 0.15
+LEVEL_LEAST = 0.25
 COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
@@ -128,6 +129,7 @@
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
         self.all_classes, self.level = (1 << self.classes) - 1, 1e6 if s.levels == "rate" else 1.0
         self.sheds, self.levelled_at = s.levels == "share", -1e9
+        self.tried, self.came = Tally(2), 0.0
         self.levels = []
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
@@ -237,11 +239,14 @@
             server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
         server.outcomes.add(0, event.tries - event.bad)
         server.outcomes.add(1, event.bad)
+        self.tried.add(0, event.tries - event.bad)
+        self.tried.add(1, event.bad)
         if event.tries > event.bad:
             server.mute = 0
 
     def slice_report(self, event):
         event.slice.heat.add(event.operation, event.count)
+        self.came += event.count
 
     def probed(self, event):
         server = event.server
@@ -326,9 +331,12 @@
         if not self.sheds or self.now < self.levelled_at + LEVEL_EVERY:
             return
         self.levelled_at = self.now
-        if self.strained:
-            self.level = max(LEVEL_LEAST, 0.75 * self.level)
-        elif not self.busy:
+        (good, bad), came = self.tried.bins, self.came
+        self.tried.clear()
+        self.came = 0.0
+        if bad > BUSY * (good + bad) and self.strained:
+            self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
+        elif bad < CALM * (good + bad):
             self.level = min(1.0, self.level + LEVEL_UP)
 
     def settled_list(self):
