Failing is judged only beside quick answers

Cause: a fleet filling up was emptied server by server while its middle still answered. Told from fast failing by the latency of the good answers. Could do harm where a server fails fast only after its clients waited: then its heat moves it out slice by slice.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -22,7 +22,7 @@
 CALM = 0.02           # and is not so any more
 BUSY = 0.08           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
-SLOW = 1.5            # latency against the median: failing beyond it is taken for overload
+SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
@@ -114,6 +114,7 @@
         s = settings
         self.chance = seed % (1 << 64)
         self.classes = len(s.classes)
+        self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner, self.zones, self.zone = s.slices > 0, s.one_owner, s.zones, s.zone
         self.hold = max(s.lease, s.lingers) + s.push_delay
@@ -296,7 +297,8 @@
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
-            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and server.heat < SLOW
+            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
+                server.latency.middle() or 0.0) < self.sore
             dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
             if dead or (mute or failing) and not self.strained:
                 suspects.append((server, dead or mute))
