--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -30,7 +30,7 @@
 LEVEL_AIM = 0.9
 LEVEL_UP = 0.05
 LEVEL_LEAST = 0.25
-COLD_PART = 0.9       # of the usual part for what it can surely do: what a cold server holds
+COLD_PART = 1.0       # of the usual part for what it can surely do: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS = 2      # that a gap must hold
@@ -383,7 +383,7 @@
         # What a cold server may hold goes by the fleet at its largest: with many lost, the fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
-        self.cold_part = COLD_PART / 3 if self.strained else COLD_PART
+        self.cold_part = COLD_PART * (0.7 if self.strained else 1.0)
         self.usual = total / self.fleet if self.fleet else 0.0
 
     def fits(self, server, demand, part):
