--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -81,7 +81,7 @@
         self.latency, self.outcomes = Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
         self.ill_at, self.trial_at, self.down = None, None, False
-        self.load = self.capacity = 0.0
+        self.load = self.capacity = self.sure = 0.0
         self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
         self.gave_at = -1e9
 
@@ -323,7 +323,9 @@
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
-            server.capacity = server.size * warmth / max(0.7, min(1.4, server.heat))
+            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
+            server.sure = server.size * warmth
+            server.capacity = server.sure / max(0.7, min(1.4, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or self.settled_list())
                             else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
                             else COLD if warmth < 1 else WARM)
@@ -388,12 +390,12 @@
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
-            return server.load + demand <= self.cold_part * self.usual * server.capacity
+            return server.load + demand <= self.cold_part * self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def over_cold(self, server, mine):
         # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-        over, cut = server.load - 1.4 * self.cold_part * self.usual * server.capacity, []
+        over, cut = server.load - 1.4 * self.cold_part * self.usual * server.sure, []
         for piece in sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand):
             if over > 0:
                 cut.append(piece)
