--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -30,7 +30,7 @@
 LEVEL_AIM = 0.9
 LEVEL_UP = 0.05
 LEVEL_LEAST = 0.25
-COLD_PART = 1.35       # of the usual part for what it can surely do: what a cold server holds
+COLD_PART = 0.5        # of the stated multiple that fells it, in usual parts: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS = 2      # that a gap must hold
@@ -120,7 +120,7 @@
         self.hold = max(s.lease, s.lingers) + s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
-        self.cold, self.cold_from = s.cold, s.cold_from
+        self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
         self.ask, self.probes, self.sized = s.ask, s.probes, s.sized
         self.ask_again = s.ask_within / 4
         self.report_period = s.report_period
@@ -385,7 +385,7 @@
         # What a cold server may hold goes by the fleet at its largest: with many lost, the fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
-        self.cold_part = COLD_PART * (0.7 if self.strained else 1.0)
+        self.cold_part = self.cold_most * (0.7 if self.strained else 1.0)
         self.usual = total / self.fleet if self.fleet else 0.0
 
     def fits(self, server, demand, part):
