--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -54,9 +54,6 @@
     def halve(self):
         self.bins = [b / 2 if b > 0.1 else 0.0 for b in self.bins]
 
-    def clear(self):
-        self.bins = [0.0] * len(self.bins)
-
     def total(self):
         return sum(self.bins)
 
@@ -77,10 +74,10 @@
     def __init__(self, ident):
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
-        self.zone, self.cell, self.kind, self.size = 0, 0, 0, 1.0
+        self.zone, self.size = 0, 1.0
         self.latency, self.outcomes = Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
-        self.ill_at, self.trial_at, self.down = None, None, False
+        self.ill_at, self.trial_at = None, None
         self.load = self.capacity = self.sure = 0.0
         self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
         self.gave_at = -1e9
@@ -105,8 +102,8 @@
 
 
 class Push:
-    def __init__(self, serial, at, each, waits):
-        self.serial, self.at, self.each, self.waits = serial, at, each, waits
+    def __init__(self, serial, each, waits):
+        self.serial, self.each, self.waits = serial, each, waits
 
 
 class Controller:
@@ -116,29 +113,27 @@
         self.classes = len(s.classes)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
-        self.sliced, self.one_owner, self.zones, self.zone = s.slices > 0, s.one_owner, s.zones, s.zone
+        self.sliced, self.one_owner = s.slices > 0, s.one_owner
         self.hold = max(s.lease, s.lingers) + s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
-        self.ask, self.probes, self.sized = s.ask, s.probes, s.sized
-        self.ask_again = s.ask_within / 4
+        self.probes, self.sized = s.probes, s.sized
+        self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
         self.report_period = s.report_period
         # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
         again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
                  for c in s.classes]
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
         self.all_classes, self.level = (1 << self.classes) - 1, 1e6 if s.levels == "rate" else 1.0
-        self.sheds, self.levelled_at = s.levels == "share", -1e9
+        self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
         self.tried, self.came = Tally(2), 0.0
-        self.levels = []
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
         self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
-        self.asked_at, self.listed, self.booted_at = None, False, None
-        self.urgent, self.fleet, self.strained = True, 0.0, False
-        self.busy = False
+        self.listed, self.booted_at = False, None
+        self.urgent, self.fleet, self.strained, self.busy = True, 0.0, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -184,7 +179,7 @@
 
     def members(self, event):
         if event.scope == "failed":
-            self.asked_at = max(self.asked_at or -1e9, self.now - 1.0)
+            self.ask_at = self.now + self.ask_again
             return
         self.listed = self.listed or event.scope != "stale"
         if event.scope != "changes":
@@ -199,19 +194,16 @@
                 server.started = started
                 if self.now - started < self.cold:
                     self.restart(server)
-            if server.state != e.state:
-                server.state = e.state
-            server.zone, server.cell, server.kind = e.zone, e.cell, e.kind
-            server.size = e.size if self.sized and e.size > 0 else 1.0
+            server.state = e.state
+            server.zone, server.size = e.zone, e.size if self.sized and e.size > 0 else 1.0
         self.urgent = True
 
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
-        server.latency.clear()
-        server.outcomes.clear()
+        server.latency, server.outcomes = Tally(24), Tally(2)
         server.ill_at = server.trial_at = None
         server.streak = server.mute = 0
-        server.down, server.returning = False, True
+        server.returning = True
 
     def joined(self, event):
         p = event.proxy
@@ -253,10 +245,6 @@
         server = event.server
         server.probing = False
         if event.outcome == "answered":
-            if server.down and server.state == "ready":
-                # It was unreachable and is back: whatever the list says, it may have started anew, cold.
-                server.started = max(server.started, self.now)
-                self.restart(server)
             server.streak = server.mute = 0
         elif event.outcome in ("refused", "reset"):
             server.streak += 1
@@ -286,14 +274,15 @@
                 server.outcomes.halve()
             for piece in self.slices:
                 piece.heat.halve()
+            self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
         # Where the middle server fails too, it is the whole fleet that is full: no server is emptied for that,
         # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
         self.strained = middle > (CALM if self.strained else STRAIN)
-        tries, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
-        self.busy = bad > (CALM if self.busy else BUSY) * (tries + bad)
+        good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
+        self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
@@ -301,23 +290,24 @@
                 server.latency.middle() or 0.0) < self.sore
             dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
             if dead or (mute or failing) and not self.strained:
-                suspects.append((server, dead or mute))
+                suspects.append(server)
         if len(suspects) * 2 <= len(ready):
             # More than half ill at once is more likely our own cut, a stall or overload.
-            for server, down in suspects:
-                server.down = server.down or down
+            for server in suspects:
                 if server.ill_at is None or server.trial_at is not None:
                     server.ill_at, server.trial_at = self.now, None
-                    server.outcomes.clear()
+                    server.outcomes = Tally(2)
         for server in ready:
             if server.ill_at is None:
                 continue
             if server.trial_at is None and self.now - server.ill_at > TRIAL_AFTER and not server.streak + server.mute:
                 server.trial_at = self.now
-                server.outcomes.clear()
+                server.outcomes = Tally(2)
             elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
                 server.ill_at, server.trial_at, server.returning = None, None, True
         median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
+        # A stale list at a start may lack what the store's lines name; the new one comes soon after.
+        listed = self.listed or self.now - self.booted_at > 3000.0
         for server in self.servers:
             at = server.latency.middle()
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
@@ -326,7 +316,7 @@
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             server.sure = server.size * warmth
             server.capacity = server.sure / max(0.7, min(1.4, server.heat))
-            server.grade = (CLOSED if server.state != "ready" and (server.state or self.settled_list())
+            server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
                             else COLD if warmth < 1 else WARM)
 
@@ -336,17 +326,12 @@
             return
         self.levelled_at = self.now
         (good, bad), came = self.tried.bins, self.came
-        self.tried.clear()
-        self.came = 0.0
+        self.tried, self.came = Tally(2), 0.0
         if bad > BUSY * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
         elif bad < CALM * (good + bad):
             self.level = min(1.0, self.level + LEVEL_UP)
 
-    def settled_list(self):
-        # A stale list at a start may lack what the store's lines name; the new one comes soon after.
-        return self.listed or self.now - self.booted_at > 3000.0
-
     # What should be out
 
     def plan(self):
@@ -358,10 +343,18 @@
         self.weigh(mine)
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= TRIAL]
         for server in self.servers:
-            if server.grade == COLD:
-                lost += self.over_cold(server, mine)
+            # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
+            over = server.load - 1.4 * self.cold_part * self.usual * server.sure if server.grade == COLD else 0.0
+            for piece in sorted((p for p in mine if over > 0 and p.owner() is server), key=lambda p: -p.demand):
+                if over > 0:
+                    lost.append(piece)
+                    over -= piece.demand
         for piece in sorted(lost, key=lambda p: -p.demand):
-            self.move(piece, self.choose(piece, [s for s in self.servers if s is not piece.owner()]) or piece.owner())
+            owner = piece.owner()
+            to = self.choose(piece, [s for s in self.servers if s is not owner])
+            # From one ill server to another is no rescue, only churn.
+            if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > TRIAL:
+                self.move(piece, to or owner)
         if self.one_owner:
             return
         self.refill(mine)
@@ -393,15 +386,6 @@
             return server.load + demand <= self.cold_part * self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
-    def over_cold(self, server, mine):
-        # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-        over, cut = server.load - 1.4 * self.cold_part * self.usual * server.sure, []
-        for piece in sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand):
-            if over > 0:
-                cut.append(piece)
-                over -= piece.demand
-        return cut
-
     def score(self, piece, server):
         mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
         return -max(server.capacity, 1e-6) / log((int.from_bytes(mixed) + 1) / (1 << 56))
@@ -541,7 +525,7 @@
         for piece in moved:
             piece.push = self.serial
         each = len(orders) + 1 + self.head + len(self.levels)
-        self.pushes.append(Push(self.serial, self.now, each, set(joined)))
+        self.pushes.append(Push(self.serial, each, set(joined)))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, False)]
@@ -575,14 +559,13 @@
 
     def ask_around(self):
         orders = []
-        if self.ask and (self.asked_at is None):
-            self.asked_at = self.now
+        if self.now >= self.ask_at:
+            self.ask_at = 1e18
             orders.append(core.Follow())
-        if self.probes:
-            for server in self.servers:
-                every = PROBE_EVERY if not server.streak + server.mute else TICK
-                if server.state == "ready" and self.now - server.probed_at > every - 1 and (
-                        not server.probing or self.now - server.probed_at > 4 * PROBE_EVERY):
-                    server.probed_at, server.probing = self.now, True
-                    orders.append(core.Probe(server))
+        for server in self.servers if self.probes else ():
+            # One that failed is asked again at once; an answer that never came is not waited for forever.
+            every = 4 * PROBE_EVERY if server.probing else TICK if server.streak + server.mute else PROBE_EVERY
+            if server.state == "ready" and self.now - server.probed_at > every - 1:
+                server.probed_at, server.probing = self.now, True
+                orders.append(core.Probe(server))
         return orders
