--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -121,7 +121,7 @@
         self.probes, self.sized = s.probes, s.sized
         self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
         self.report_period = s.report_period
-        # A repeat may take effect twice unless the class is safe, or every server drops it till the client goes.
+        # A repeat may take effect twice, save of safe classes, or where all servers drop it till the client goes.
         again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
                  for c in s.classes]
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
@@ -277,15 +277,15 @@
             self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
-        # Where the middle server fails too, it is the whole fleet that is full: no server is emptied for that,
-        # for its slices would drown the next one. The same holds for standing proxies and for our own cut.
+        # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
+        # slices would drown the next one. The same holds for standing proxies and for our own cut.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
         self.strained = middle > (CALM if self.strained else STRAIN)
         good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
         self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
         for server in ready:
             good, bad = server.outcomes.bins
-            # A full server fails too, but slowly, or beside slow answers: emptying it would only drown the next.
+            # A full server fails too, but beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
                 server.latency.middle() or 0.0) < self.sore
             dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
@@ -300,7 +300,8 @@
         for server in ready:
             if server.ill_at is None:
                 continue
-            if server.trial_at is None and self.now - server.ill_at > TRIAL_AFTER and not server.streak + server.mute:
+            silent = server.streak + server.mute
+            if server.trial_at is None and self.now - server.ill_at > TRIAL_AFTER and not silent:
                 server.trial_at = self.now
                 server.outcomes = Tally(2)
             elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
@@ -344,8 +345,8 @@
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= TRIAL]
         for server in self.servers:
             # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-            over = server.load - 1.4 * self.cold_part * self.usual * server.sure if server.grade == COLD else 0.0
-            for piece in sorted((p for p in mine if over > 0 and p.owner() is server), key=lambda p: -p.demand):
+            over = server.load - 1.4 * self.cold_part * self.usual * server.sure
+            for piece in self.owned(mine, server) if server.grade == COLD else ():
                 if over > 0:
                     lost.append(piece)
                     over -= piece.demand
@@ -375,7 +376,7 @@
         total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
-        # What a cold server may hold goes by the fleet at its largest: with many lost, the fair part would fell it.
+        # What a cold server may hold goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
         self.cold_part = self.cold_most * (0.7 if self.strained else 1.0)
@@ -386,6 +387,9 @@
             return server.load + demand <= self.cold_part * self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
+    def owned(self, mine, server):
+        return sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand)
+
     def score(self, piece, server):
         mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
         return -max(server.capacity, 1e-6) / log((int.from_bytes(mixed) + 1) / (1 << 56))
@@ -422,15 +426,13 @@
         return sum(r for r, done in rates if done) >= SETTLED * sum(r for r, _ in rates)
 
     def refill(self, mine):
+        # One slice a push for each server that came back: the filler alone would take the rest of the day.
         for server in [s for s in self.servers if s.returning and s.grade >= COLD]:
-            if server.load > 0.8 * self.fair * server.capacity and server.grade == WARM:
-                server.returning = False
-            if self.now - server.got_at < PUSH_GAP:
-                continue
+            server.returning = server.grade == COLD or self.part(server) < 0.8
             fits = [p for p in mine if (o := p.owner()) is not server and o and self.fits(server, p.demand, 0.9)
-                    and o.load - p.demand >= 0.9 * self.fair * o.capacity and self.settled(p)]
-            if fits:
-                self.move(max(fits, key=lambda p: (p.owner().load / max(p.owner().capacity, 1e-6), p.demand)), server)
+                    and self.part(o, -p.demand) >= 0.9 and self.settled(p)]
+            if fits and self.now - server.got_at >= PUSH_GAP:
+                self.move(max(fits, key=lambda p: (self.part(p.owner()), p.demand)), server)
 
     def fill(self, mine):
         if self.now >= self.reported_at + self.report_period:
@@ -447,7 +449,7 @@
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and self.now - max(s.gave_at, s.got_at) > FILL]
-            for piece in sorted((p for p in mine if p.owner() is giver), key=lambda p: -p.demand):
+            for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
@@ -491,7 +493,7 @@
         # Messages leave one after the other: an answer to a push says that all before it have left.
         left = max((p.answered for p in self.proxies), default=0)
         unanswered = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
-        # Proxies that stand still do not answer; the channel empties all the same, at its slowest pace at least.
+        # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
         self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace)
         self.queued_at = self.now
         return min(unanswered, self.queued)
@@ -564,7 +566,8 @@
             orders.append(core.Follow())
         for server in self.servers if self.probes else ():
             # One that failed is asked again at once; an answer that never came is not waited for forever.
-            every = 4 * PROBE_EVERY if server.probing else TICK if server.streak + server.mute else PROBE_EVERY
+            soon = TICK if server.streak + server.mute else PROBE_EVERY
+            every = 4 * PROBE_EVERY if server.probing else soon
             if server.state == "ready" and self.now - server.probed_at > every - 1:
                 server.probed_at, server.probing = self.now, True
                 orders.append(core.Probe(server))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,294 @@
+import pytest
+from helpers import controller, fleet, heard, join, lines, slices
+
+from havendyke import interface as core
+from havendyke import rules
+
+
+def test_only_changed_lines_are_pushed_with_one_mark():
+    c = controller()
+    a, b = fleet(c, 2)
+    piece, other = slices(c, [a, b])
+    join(c, 3)
+    piece.wanted = {b: 1.0}
+    orders = c.emit()
+    assert {(o.server, o.weight) for o in lines(orders)} == {(b, 1.0), (a, 0.0)}
+    assert sum(isinstance(o, core.Mark) for o in orders) == 1
+    assert piece.present == {b: 1.0} and other.present == {b: 1.0}
+
+
+def test_at_most_one_push_a_second():
+    c = controller()
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    join(c, 1)
+    piece.wanted = {b: 1.0}
+    assert c.emit()
+    piece.wanted = {a: 1.0}
+    c.now += 999
+    assert c.emit() == []
+    c.now += 1
+    assert c.emit()
+
+
+def test_message_cap_widens_the_gap():
+    assert controller(message_cap=5, message_span=10_000.0).gap > 2000.0
+
+
+def test_lines_that_do_not_fit_stay_wanted():
+    # Once a slice counted as pushed though its lines were left out: its drained server kept its traffic.
+    c = controller(queue_limit=80.0)
+    a, b = fleet(c, 2)
+    made = slices(c, [a] * 8)
+    join(c, 2)
+    for piece in made:
+        piece.wanted = {b: 1.0}
+    pushed = {o.slice for o in lines(c.emit())}
+    assert 0 < len(pushed) < 8
+    assert all((piece.present == {b: 1.0}) == (piece in pushed) for piece in made)
+
+
+@pytest.mark.parametrize("after, answered, most", [(1000.0, False, 200.0), (1000.0, True, 0.0), (60_000.0, False, 0.0)])
+def test_queue_is_known_by_answers_and_by_the_slowest_pace(after, answered, most):
+    c = controller()
+    proxies = join(c, 2)
+    c.pushes.append(rules.Push(1, 100.0, set(proxies)))
+    c.queued, c.queued_at, c.serial = 5000.0, c.now, 1
+    c.now += after
+    if answered:
+        for p in proxies:
+            c.caught_up(core.Answered(p, 1, 300.0))
+    assert c.waiting() == most
+
+
+def test_broken_stream_clears_what_the_proxy_answered():
+    c = controller()
+    p, q = join(c, 2)
+    c.pushes.append(rules.Push(1, 10.0, {p, q}))
+    c.caught_up(core.Answered(p, 1, 1.0))
+    c.parted(core.Parted(p))
+    assert p.answered == 0 and c.pushes[0].waits == {q}
+
+
+def test_drained_first_in_a_push():
+    c = controller()
+    a, b, out = fleet(c, 3)
+    tidy, urgent = slices(c, [a, out])
+    out.state = "draining"
+    c.judge()
+    tidy.wanted, urgent.wanted = {b: 1.0}, {b: 1.0}
+    assert sorted([tidy, urgent], key=c.pressing)[0] is urgent
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_closed_server_is_left_whole_and_never_an_empty_table(state):
+    c = controller()
+    servers = fleet(c, 4)
+    made = slices(c, [servers[0]] * 3)
+    servers[0].state = state
+    c.judge()
+    c.plan()
+    assert all(p.wanted and servers[0] not in p.wanted for p in made)
+
+
+def test_table_stays_when_nothing_else_is_ready():
+    c = controller()
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    a.ill_at, b.state = c.now, "gone"
+    c.judge()
+    c.plan()
+    assert piece.owner() is a
+
+
+def test_store_names_a_server_the_stale_list_lacks():
+    c = controller()
+    fleet(c, 3)
+    c.listed = False
+    new = c.server("new")
+    piece, = slices(c, [new])
+    c.judge()
+    assert new.grade != rules.CLOSED
+    c.listed = True
+    c.judge()
+    assert new.grade == rules.CLOSED
+
+
+def test_orphan_goes_to_its_spare_by_hash():
+    c = controller()
+    servers = fleet(c, 6)
+    made = slices(c, servers * 5)
+    c.judge()
+    c.plan()
+    spare = next(s for s, w in made[0].wanted.items() if w < 1)
+    assert spare.zone != servers[0].zone
+    servers[0].state = "gone"
+    c.judge()
+    c.plan()
+    assert made[0].owner() is spare
+
+
+def test_restarted_server_is_cut_to_what_it_surely_can_do():
+    c = controller()
+    servers = fleet(c, 4)
+    made = slices(c, [servers[0]] * 4 + servers[1:] * 4)
+    c.members(core.Members("changes", [core.Entry(servers[0], "ready", c.now, 0, 0, 0, 1.0)]))
+    c.judge()
+    c.plan()
+    assert sum(p.owner() is servers[0] for p in made) <= 1
+    assert all(w == 1 for p in made for s, w in p.wanted.items() if s is servers[0])
+
+
+def test_coolness_beside_a_jam_does_not_grow_a_cold_server():
+    c = controller()
+    servers = fleet(c, 4)
+    slices(c, servers)
+    servers[0].started = c.now - 1000.0
+    for s in servers[1:]:
+        heard(c, s, 40, latency=900.0)
+    heard(c, servers[0], 5, latency=60.0)
+    c.judge()
+    assert servers[0].sure == pytest.approx(0.25)
+
+
+@pytest.mark.parametrize("bad, latency, rest_bad, ill", [
+    (30, 100.0, 0, True),      # fails fast beside quick answers
+    (30, 900.0, 0, False),     # full: fails beside slow answers
+    (30, 100.0, 20, False),    # the middle server fails too
+    (2, 100.0, 0, False)])
+def test_failing_is_told_from_full(bad, latency, rest_bad, ill):
+    c = controller()
+    servers = fleet(c, 5)
+    heard(c, servers[0], 40, bad, latency)
+    for s in servers[1:]:
+        heard(c, s, 40, rest_bad)
+    c.judge()
+    assert (servers[0].ill_at is not None) == ill
+
+
+@pytest.mark.parametrize("dead, ill", [(2, 2), (4, 0)])
+def test_more_than_half_ill_is_our_own_trouble(dead, ill):
+    c = controller()
+    servers = fleet(c, 6)
+    for s in servers[:dead]:
+        s.streak = rules.DEAD_PROBES
+    c.judge()
+    assert sum(s.ill_at is not None for s in servers) == ill
+
+
+def test_a_good_report_ends_the_silence_of_probes():
+    c = controller()
+    server, = fleet(c, 1)
+    server.mute = 2
+    heard(c, server, 5)
+    assert server.mute == 0
+
+
+def test_ill_server_returns_by_way_of_a_trial():
+    c = controller()
+    servers = fleet(c, 5)
+    servers[0].ill_at = c.now
+    for grade in (rules.ILL, rules.TRIAL, rules.WARM):
+        c.judge()
+        assert servers[0].grade == grade
+        c.now += rules.TRIAL_AFTER + 1
+
+
+def test_full_fleet_takes_further_tries_back_and_lets_less_in():
+    c = controller()
+    servers = fleet(c, 4)
+    piece, = slices(c, servers[:1])
+    assert {o.further for o in c.tries()} == {1, 2}
+    for s in servers:
+        heard(c, s, 50, 25)
+    c.slice_report(core.SliceReport(piece, 0, 200, 0, 1000.0))
+    c.judge()
+    c.shed()
+    assert {o.further for o in c.tries()} == {1}
+    assert c.level == pytest.approx(rules.LEVEL_AIM * 100 / 200)
+
+
+@pytest.mark.parametrize("repeat, group, window, keen", [
+    ("safe", "all", 0.0, True), ("once", "all", 9e9, False), ("keyed", "all", 9000.0, True),
+    ("keyed", "all", 500.0, False), ("keyed", "cell", 9000.0, False)])
+def test_a_repeat_is_ordered_only_where_it_cannot_take_effect_twice(repeat, group, window, keen):
+    c = controller(classes=[core.OperationClass(1000.0, 3000.0, 1.0, repeat, group, window)])
+    assert [o.further for o in c.tries()] == [2 if keen else 1]
+
+
+@pytest.mark.parametrize("reports, moved", [(1, False), (2, True)])
+def test_filler_moves_one_slice_off_the_hot_server(reports, moved):
+    c = controller()
+    servers = fleet(c, 5)
+    made = slices(c, [servers[0]] * 6 + servers[1:] * 3)
+    join(c, 1)
+    c.serial = 1
+    for _ in range(reports):
+        c.now += 1000
+        for s in servers:
+            heard(c, s, 20, latency=600.0 if s is servers[0] else 100.0)
+        for p in made:
+            c.slice_report(core.SliceReport(p, 0, 10, 0, 1000.0))
+        c.judge()
+        c.weigh(made)
+        c.fill(made)
+    assert sum(p.owner() is servers[0] for p in made) == (5 if moved else 6)
+
+
+def test_slow_answer_does_not_pin_a_slice_but_most_must_have_answered():
+    c = controller()
+    a, = fleet(c, 1)
+    piece, = slices(c, [a])
+    proxies = join(c, 5)
+    piece.push = 3
+    for p in proxies[:3]:
+        p.answered = 3
+    assert not c.settled(piece)
+    proxies[3].answered = 3
+    assert c.settled(piece)
+
+
+def test_sole_owner_changes_only_after_its_writes_have_ended():
+    c = controller(one_owner=True, lease=1500.0, lingers=4000.0)
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    p, = join(c, 1)
+    piece.wanted = {b: 1.0}
+    assert any(isinstance(o, core.Clear) for o in c.emit())
+    c.now += 2000
+    assert not lines(c.emit())
+    p.answered = c.serial
+    c.now += 3000
+    assert [o.server for o in lines(c.emit())] == [b]
+
+
+def test_without_slices_all_usable_servers_are_bound():
+    c = controller(slices=0)
+    servers = fleet(c, 3)
+    servers[2].state = "draining"
+    join(c, 2)
+    c.judge()
+    c.plan()
+    orders = c.emit()
+    assert {o.server for o in lines(orders)} == set(servers[:2])
+    assert sum(isinstance(o, core.Bind) for o in orders) == 2
+
+
+def test_nothing_is_ordered_for_a_slice_out_of_charge():
+    c = controller()
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    c.custody(core.Custody(piece, False))
+    a.state = "gone"
+    c.judge()
+    c.plan()
+    assert not lines(c.emit())
+
+
+@pytest.mark.parametrize("ask, follows", [(True, 1), (False, 0)])
+def test_the_list_is_asked_for_once_and_again_after_a_failure(ask, follows):
+    c = controller(ask=ask, ask_within=8000.0)
+    assert sum(isinstance(o, core.Follow) for o in c.ask_around() + c.ask_around()) == follows
+    c.members(core.Members("failed", []))
+    c.now += 2001
+    assert any(isinstance(o, core.Follow) for o in c.ask_around())
