--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -23,7 +23,8 @@
 BUSY = 0.08           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
-TRIAL_AFTER = 5000.0  # an ill server that answers probes again may carry spare lines after this
+ILL_REST = 2500.0     # twice this an ill server rests at first, and at most ILL_MOST
+ILL_MOST = 20000.0
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
@@ -39,7 +40,7 @@
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
-CLOSED, ILL, TRIAL, COLD, WARM = range(5)
+CLOSED, ILL, COLD, WARM = range(4)
 
 
 class Tally:
@@ -77,7 +78,7 @@
         self.zone, self.size = 0, 1.0
         self.latency, self.outcomes = Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
-        self.ill_at, self.trial_at = None, None
+        self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
         self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
         self.gave_at = -1e9
@@ -201,9 +202,8 @@
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
         server.latency, server.outcomes = Tally(24), Tally(2)
-        server.ill_at = server.trial_at = None
+        server.ill_till, server.rest, server.returning = None, ILL_REST, True
         server.streak = server.mute = 0
-        server.returning = True
 
     def joined(self, event):
         p = event.proxy
@@ -294,18 +294,13 @@
         if len(suspects) * 2 <= len(ready):
             # More than half ill at once is more likely our own cut, a stall or overload.
             for server in suspects:
-                if server.ill_at is None or server.trial_at is not None:
-                    server.ill_at, server.trial_at = self.now, None
-                    server.outcomes = Tally(2)
+                if server.ill_till is None:
+                    # Each time it falls ill again it rests twice as long, for it was let back too early.
+                    server.rest = min(2 * server.rest, ILL_MOST)
+                    server.ill_till, server.outcomes = self.now + server.rest, Tally(2)
         for server in ready:
-            if server.ill_at is None:
-                continue
-            silent = server.streak + server.mute
-            if server.trial_at is None and self.now - server.ill_at > TRIAL_AFTER and not silent:
-                server.trial_at = self.now
-                server.outcomes = Tally(2)
-            elif server.trial_at is not None and self.now - server.trial_at > TRIAL_AFTER:
-                server.ill_at, server.trial_at, server.returning = None, None, True
+            if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
+                server.ill_till, server.returning = None, True
         median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         listed = self.listed or self.now - self.booted_at > 3000.0
@@ -318,8 +313,7 @@
             server.sure = server.size * warmth
             server.capacity = server.sure / max(0.7, min(1.4, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
-                            else TRIAL if server.trial_at is not None else ILL if server.ill_at is not None
-                            else COLD if warmth < 1 else WARM)
+                            else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
     def shed(self):
         # A full fleet works on what clients have given up: letting less in is the only way out of the jam.
@@ -342,7 +336,7 @@
                 self.spread(table)
             return
         self.weigh(mine)
-        lost = [p for p in mine if (o := p.owner()) is None or o.grade <= TRIAL]
+        lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
         for server in self.servers:
             # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
             over = server.load - 1.4 * self.cold_part * self.usual * server.sure
@@ -354,7 +348,7 @@
             owner = piece.owner()
             to = self.choose(piece, [s for s in self.servers if s is not owner])
             # From one ill server to another is no rescue, only churn.
-            if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > TRIAL:
+            if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > ILL:
                 self.move(piece, to or owner)
         if self.one_owner:
             return
@@ -400,7 +394,7 @@
             fit = [s for s in some if self.fits(s, piece.demand, FULL)]
             if fit:
                 return max(fit, key=lambda s: self.score(piece, s))
-        for grade in (WARM, TRIAL, ILL, COLD):
+        for grade in (WARM, ILL, COLD):
             some = [s for s in pool if s.grade == grade]
             if some:
                 return min(some, key=lambda s: (s.load + piece.demand) / max(s.capacity, 1e-6))
@@ -467,7 +461,7 @@
         spares = [s for s in piece.wanted if s is not owner]
         if owner is None or spares and all(s.grade == WARM for s in spares) and len(spares) == 1:
             return
-        good = [s for s in self.servers if s.grade in (TRIAL, WARM) and s is not owner]
+        good = [s for s in self.servers if s.grade == WARM and s is not owner]
         away = [s for s in good if s.zone != owner.zone] or good
         piece.wanted = {owner: piece.wanted[owner]}
         if away:
@@ -476,7 +470,7 @@
     def spread(self, table):
         # Sites without slices: one table of all that may be used, by capacity in coarse steps.
         zoned = [s for s in self.servers if table.zone is None or s.zone == table.zone]
-        for grades in ((WARM, COLD), (TRIAL, ILL)):
+        for grades in ((WARM, COLD), (ILL,)):
             use = [s for s in zoned if s.grade in grades]
             if use:
                 break
