Silence of probes counts only while good reports flow

Told from dead servers by the missing news of all others. Also guards against our own cut, late reports and standing proxies. Could do harm when a silent loss meets late reports: slices wait for the list then, or for refused connects.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -17,6 +17,7 @@
 PROBE_EVERY = 500.0
 DEAD_PROBES = 2       # connects refused or broken in a row
 MUTE_PROBES = 3       # probes unanswered in a row
+NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
 CALM = 0.02           # and is not so any more
@@ -132,7 +133,7 @@
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
-        self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
+        self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
         self.listed, self.booted_at = False, None
         self.urgent, self.fleet, self.strained, self.busy = True, 0.0, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
@@ -235,7 +236,7 @@
         self.tried.add(0, event.tries - event.bad)
         self.tried.add(1, event.bad)
         if event.tries > event.bad:
-            server.mute = 0
+            server.mute, self.good_at = 0, self.now
 
     def slice_report(self, event):
         event.slice.heat.add(event.operation, event.count)
@@ -288,10 +289,12 @@
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
                 server.latency.middle() or 0.0) < self.sore
-            dead, mute = server.streak >= DEAD_PROBES, server.mute >= MUTE_PROBES
-            if dead or (mute or failing) and not self.strained:
+            # Unanswered probes count only while good news of others flows: a full server answers them late too,
+            # and where no report says that it still works, the silence may be ours.
+            mute = server.mute >= MUTE_PROBES and self.now - self.good_at < NEWS * self.report_period
+            if server.streak >= DEAD_PROBES or (mute or failing) and not self.strained:
                 suspects.append(server)
-        if len(suspects) * 2 <= len(ready):
+        if 2 * sum(s.ill_till is not None or s in suspects for s in ready) <= len(ready):
             # More than half ill at once is more likely our own cut, a stall or overload.
             for server in suspects:
                 if server.ill_till is None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -176,6 +176,18 @@
     assert sum(s.ill_till is not None for s in servers) == ill
 
 
+@pytest.mark.parametrize("news, ill", [(0.0, True), (5000.0, False)])
+def test_silence_means_something_only_while_news_flows(news, ill):
+    # Half of the fleet was once emptied when reports came late and full servers let deep probes wait.
+    c = controller()
+    servers = fleet(c, 4)
+    heard(c, servers[1], 5)
+    servers[0].mute = rules.MUTE_PROBES
+    c.now += news
+    c.judge()
+    assert (servers[0].ill_till is not None) == ill
+
+
 def test_a_good_report_ends_the_silence_of_probes():
     c = controller()
     server, = fleet(c, 1)
