--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -314,7 +314,7 @@
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             server.sure = server.size * warmth
-            server.capacity = server.sure / max(0.7, min(1.4, server.heat))
+            server.capacity = server.sure / max(0.5, min(1.6, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
