--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -121,6 +121,8 @@
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
         self.probes, self.sized = s.probes, s.sized
+        # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
+        self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
         self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
         self.report_period = s.report_period
         # A repeat may take effect twice, save of safe classes, or where all servers drop it till the client goes.
@@ -314,7 +316,7 @@
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             server.sure = server.size * warmth
-            server.capacity = server.sure / max(0.5, min(1.6, server.heat))
+            server.capacity = server.sure / max(self.spans[0], min(self.spans[1], server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
@@ -439,7 +441,8 @@
                 # Where the list states no sizes, a part of the demand tells nothing of fullness.
                 crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
                 server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
-        if not self.heard:
+        # With no news, heat is of the past.
+        if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
         for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
                              and self.now - max(s.gave_at, s.got_at) > FILL),
