--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -30,7 +30,7 @@
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM = 0.9
-LEVEL_UP = 0.05
+LEVEL_UP = 1.2
 LEVEL_LEAST = 0.25
 COLD_PART = 0.5        # of the stated multiple that fells it, in usual parts: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
@@ -329,8 +329,9 @@
         self.tried, self.came = Tally(2), 0.0
         if bad > BUSY * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
+            self.levelled_at += LEVEL_EVERY  # the queues of what was let in before must drain first
         elif bad < CALM * (good + bad):
-            self.level = min(1.0, self.level + LEVEL_UP)
+            self.level = min(1.0, LEVEL_UP * self.level)
 
     # What should be out
 
