--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -450,6 +450,7 @@
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and self.now - max(s.gave_at, s.got_at) > FILL]
+            # Where demand tells fullness, a crowded server gives until it is not: else that takes a minute.
             for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
@@ -458,7 +459,9 @@
                     # Chance between the two best: other controllers see the same coolest server.
                     self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
                     giver.gave_at = self.now
-                    break
+                    cooler = [s for s in cooler if s.got_at < self.now]
+                    if not self.sized or self.part(giver) < 1.2:
+                        break
 
     def part(self, server, more=0.0):
         return (server.load + more) / max(self.fair * server.capacity, 1e-6)
