--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -450,7 +450,7 @@
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and self.now - max(s.gave_at, s.got_at) > FILL]
-            # Where demand tells fullness, a crowded server gives until it is not: else that takes a minute.
+            # A server both hot and crowded gives until it is not crowded: by one at a time that takes a minute.
             for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
@@ -460,7 +460,7 @@
                     self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
                     giver.gave_at = self.now
                     cooler = [s for s in cooler if s.got_at < self.now]
-                    if not self.sized or self.part(giver) < 1.2:
+                    if not self.sized or giver.heat < GAP or self.part(giver) < CROWDED:
                         break
 
     def part(self, server, more=0.0):
