--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -135,7 +135,6 @@
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
-        self.halvings = 0
         self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
         self.listed, self.booted_at = False, None
         self.urgent, self.fleet, self.strained, self.busy = True, 0.0, False, False
@@ -276,9 +275,7 @@
             for server in self.servers:
                 server.latency.halve()
                 server.outcomes.halve()
-            self.halvings += 1
-            # A slice has few operations a second: its demand is heard over twice as long.
-            for piece in self.slices if self.halvings % 2 else ():
+            for piece in self.slices:
                 piece.heat.halve()
             self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
