--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -9,6 +9,8 @@
 REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "once"}
 OUTCOMES = {"completed": "answered", "errored": "error", "saturated": "full", "overdue": "overdue",
             "refused_conn": "refused", "severed": "reset", "recalled": "overdue", "superseded": "overdue"}
+LOADS = {"load_share": "busy", "tps": "answers", "concurrent": "held", "depth": "waiting", "mean_ms": "service",
+         "err_ps": "errors"}
 NUMBER = (int, float)
 SERVICE_WIDE = 65535
 
@@ -45,7 +47,7 @@
 
 def read_settings(raw):
     family, duty = take(raw, "familyInfo", dict, {}), take(raw, "obligations", dict, {})
-    told, limits = take(raw, "telemetry", dict, {}), take(raw, "limits", dict, {})
+    limits = take(raw, "limits", dict, {})
     zonal = take(family, "classOwnZone", list, [])
     classes = [
         core.OperationClass(
@@ -65,7 +67,6 @@
         cold_from=take(duty, "coldFrom", NUMBER, 1.0), overload=take(duty, "overloadFactor", NUMBER, 1e9),
         ask=raw.get("registryMode") == "ask", ask_within=ms(duty, "askWithin", 0.0),
         probes=take(limits, "probes", bool, False), levels=take(family, "throttleBy", str, "none"),
-        reports=tuple(take(told, "names", list, [])) if told.get("source") != "none" else (),
         sized=raw.get("weightKind") in ("nominal", "rough"))
 
 
@@ -93,7 +94,8 @@
         return self.one(self.proxies, self.controller.proxy, take(message, "agent", int))
 
     def load(self, message):
-        return take(message, "feedback", dict, {})
+        told = take(message, "feedback", dict, {})
+        return {LOADS[name]: take(told, name, NUMBER) for name in told if name in LOADS}
 
     def read(self, kind, m):
         if kind == "TRAFFIC_REPORT":
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -45,7 +45,6 @@
     ask_within: float = 0.0
     probes: bool = False
     levels: str = "none"       # how levels are followed: "share", "rate" or "none"
-    reports: tuple = ()        # names of the values in load reports
     sized: bool = False        # the list's sizes say something
 
 
@@ -103,6 +102,8 @@
     bad: int
     latency: float             # 0: nothing answered
     window: float
+    # What the server told of itself, as far as it did: "busy" (share of its cores), "answers" and "errors" a
+    # second, "held" and "waiting" operations, "service" (recent time without waiting).
     load: dict = field(default_factory=dict)
 
 
