--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -236,7 +236,7 @@
         if event.tries > event.bad and event.latency > 0:
             server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
         busy, answers = event.load.get("busy", 0.0), event.load.get("answers", 0.0)
-        if busy > ABLE_FROM and answers > 0:
+        if busy > ABLE_FROM and answers > 0 and server.grade == WARM:
             server.able.add(3 * log2(max(answers / min(busy, 1.0), 4.0) / 4.0), 1.0)
         server.outcomes.add(0, event.tries - event.bad)
         server.outcomes.add(1, event.bad)
@@ -328,7 +328,8 @@
             able = server.able.middle()
             size = server.size if able is None else typical * 2 ** ((able - middle_able) / 3)
             server.sure = size * warmth
-            server.capacity = server.sure / max(self.spans[0], min(self.spans[1], server.heat))
+            low, high = self.spans if able is None else (0.75, 1.35)
+            server.capacity = server.sure / max(low, min(high, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
