--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -21,9 +21,8 @@
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
 CALM = 0.02           # and is not so any more
-BUSY = 0.08           # of all tries fail: no further tries but after proof
+BUSY = 0.13           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
-ABLE_FROM = 0.2       # busy share from which a report tells a server's size
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST = 2500.0     # twice this an ill server rests at first, and at most ILL_MOST
 ILL_MOST = 20000.0
@@ -78,7 +77,7 @@
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.size = 0, 1.0
-        self.latency, self.outcomes, self.able = Tally(24), Tally(2), Tally(24)
+        self.latency, self.outcomes = Tally(24), Tally(2)
         self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
         self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
@@ -136,7 +135,6 @@
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.queued = self.queued_at = 0.0
-        self.halvings = 0
         self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
         self.listed, self.booted_at = False, None
         self.urgent, self.fleet, self.strained, self.busy = True, 0.0, False, False
@@ -206,7 +204,7 @@
 
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
-        server.latency, server.outcomes, server.able = Tally(24), Tally(2), Tally(24)
+        server.latency, server.outcomes = Tally(24), Tally(2)
         server.ill_till, server.rest, server.returning = None, ILL_REST, True
         server.streak = server.mute = 0
 
@@ -235,9 +233,6 @@
         server = event.server
         if event.tries > event.bad and event.latency > 0:
             server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
-        busy, answers = event.load.get("busy", 0.0), event.load.get("answers", 0.0)
-        if busy > ABLE_FROM and answers > 0 and server.grade == WARM:
-            server.able.add(3 * log2(max(answers / min(busy, 1.0), 4.0) / 4.0), 1.0)
         server.outcomes.add(0, event.tries - event.bad)
         server.outcomes.add(1, event.bad)
         self.tried.add(0, event.tries - event.bad)
@@ -276,12 +271,10 @@
 
     def judge(self):
         if self.now >= self.halved_at + HALF_LIFE:
-            self.halved_at, self.halvings = self.now, self.halvings + 1
+            self.halved_at = self.now
             for server in self.servers:
                 server.latency.halve()
                 server.outcomes.halve()
-                if self.halvings % 4 == 0:
-                    server.able.halve()
             for piece in self.slices:
                 piece.heat.halve()
             self.fleet *= 0.98
@@ -314,8 +307,6 @@
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
         median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
-        typical = middle_of([s.size for s in ready], 1.0)
-        middle_able = middle_of([m for s in ready if (m := s.able.middle()) is not None], None)
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         listed = self.listed or self.now - self.booted_at > 3000.0
         for server in self.servers:
@@ -324,12 +315,8 @@
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
-            # Where servers tell how busy they are with how much, that says more of their size than the list.
-            able = server.able.middle()
-            size = server.size if able is None else typical * 2 ** ((able - middle_able) / 3)
-            server.sure = size * warmth
-            low, high = self.spans if able is None else (0.75, 1.35)
-            server.capacity = server.sure / max(low, min(high, server.heat))
+            server.sure = server.size * warmth
+            server.capacity = server.sure / max(self.spans[0], min(self.spans[1], server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
