No further tries at all while the fleet is full

Cause: in a jam a refusal as full was tried again at another full server. Could do harm where the middle server fails for a cause of its own that a second server would not.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -21,7 +21,7 @@
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
 CALM = 0.02           # and is not so any more
-BUSY = 0.04           # of all tries fail: no further tries but after proof
+BUSY = 0.06           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST = 2500.0     # twice this an ill server rests at first, and at most ILL_MOST
@@ -537,7 +537,7 @@
         # Further tries after any failure help against single servers, and drown a fleet that is full.
         keen = 0 if self.strained or self.busy else self.repeatable
         return [core.Tries(mask, self.level, further)
-                for mask, further in ((self.all_classes & ~keen, 1), (keen, 2)) if mask]
+                for mask, further in ((self.all_classes & ~keen, 0 if self.strained else 1), (keen, 2)) if mask]
 
     def pressing(self, piece):
         gone = [s.grade for s in piece.present if s not in piece.wanted]
