--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -443,7 +443,7 @@
                 crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
                 server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
         # With no news, heat is of the past.
-        if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
+        if self.strained or not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
         for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
                              and self.now - max(s.gave_at, s.got_at) > FILL),
