--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -20,9 +20,9 @@
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
 BAD_TRIES = 6.0
-CALM = 0.02           # and is not so any more
 BUSY = 0.06           # of all tries fail: no further tries but after proof
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
+CALM = 0.02           # ends both
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST = 2500.0     # twice this an ill server rests at first, and at most ILL_MOST
 ILL_MOST = 20000.0
@@ -30,9 +30,9 @@
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM = 0.9
-LEVEL_UP = 1.2
+LEVEL_UP = 1.2        # a step, once hardly any try fails
 LEVEL_LEAST = 0.25
-COLD_PART = 0.5        # of the stated multiple that fells it, in usual parts: what a cold server holds
+COLD_PART = 0.5       # of the stated multiple that fells it, in usual parts: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS = 2      # that a gap must hold
@@ -76,13 +76,12 @@
     def __init__(self, ident):
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
-        self.zone, self.size = 0, 1.0
+        self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, CLOSED, 1.0, 0
         self.latency, self.outcomes = Tally(24), Tally(2)
-        self.streak, self.mute, self.probed_at, self.probing = 0, 0, -1e9, False
+        self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
         self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
-        self.grade, self.heat, self.hot, self.got_at, self.returning = CLOSED, 1.0, 0, -1e9, False
-        self.gave_at = -1e9
+        self.probed_at = self.got_at = self.gave_at = -1e9
 
 
 class Slice:
@@ -90,7 +89,7 @@
         self.id = ident
         self.held, self.zone = False, None         # zone: a bound table for classes kept in their zone
         self.present, self.wanted = {}, {}
-        self.heat, self.heard = Tally(classes), 0.0
+        self.heat = Tally(classes)
         self.demand, self.moved_at, self.push, self.freed_at = None, -1e9, None, None
 
     def owner(self):
@@ -112,7 +111,6 @@
     def __init__(self, settings, seed):
         s = settings
         self.chance = seed % (1 << 64)
-        self.classes = len(s.classes)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner = s.slices > 0, s.one_owner
@@ -120,24 +118,22 @@
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
-        self.probes, self.sized = s.probes, s.sized
+        self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
         self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
         self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
-        self.report_period = s.report_period
-        # A repeat may take effect twice, save of safe classes, or where all servers drop it till the client goes.
+        # A repeat may take effect twice, but not of safe classes, or where all servers drop it long enough.
         again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
                  for c in s.classes]
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
-        self.all_classes, self.level = (1 << self.classes) - 1, 1e6 if s.levels == "rate" else 1.0
+        self.all_classes, self.level = (1 << len(s.classes)) - 1, 1e6 if s.levels == "rate" else 1.0
         self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
-        self.tried, self.came = Tally(2), 0.0
+        self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.next_push = deque(), 0, -1e9
-        self.queued = self.queued_at = 0.0
         self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
-        self.listed, self.booted_at = False, None
-        self.urgent, self.fleet, self.strained, self.busy = True, 0.0, False, False
+        self.listed, self.booted_at, self.urgent = False, None, True
+        self.fleet, self.strained, self.busy = 0.0, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -149,7 +145,7 @@
         return self.servers[-1]
 
     def slice(self, ident):
-        self.slices.append(Slice(ident, self.classes))
+        self.slices.append(Slice(ident, len(self.work)))
         return self.slices[-1]
 
     def proxy(self, ident):
@@ -164,15 +160,12 @@
 
     def turn(self, now, events):
         self.now = now
-        orders = []
-        if self.booted_at is None:
-            self.booted_at = now
-            orders.append(core.Timer(0, TICK))
+        tick = self.booted_at is None or any(type(event) is core.Reminder for event in events)
+        self.booted_at = now if self.booted_at is None else self.booted_at
+        orders = [core.Timer(0, TICK)] if tick else []
         for event in events:
-            if type(event) is core.Reminder:
-                orders.append(core.Timer(0, TICK))
-            else:
-                self.TAKES[type(event)](self, event)
+            if take := self.TAKES.get(type(event)):
+                take(self, event)
         if self.urgent or now >= self.looked_at + TICK - 1:
             self.urgent, self.looked_at = False, now
             self.judge()
@@ -186,20 +179,19 @@
             self.ask_at = self.now + self.ask_again
             return
         self.listed = self.listed or event.scope != "stale"
-        if event.scope != "changes":
-            named = {id(e.server) for e in event.entries}
-            for server in self.servers:
-                if server.state and id(server) not in named:
-                    server.state = "gone"
+        named = [e.server for e in event.entries]
+        for server in self.servers if event.scope != "changes" else ():
+            if server.state and server not in named:
+                server.state = "gone"
         for e in event.entries:
             server = e.server
             started = e.started if e.started is not None else -1e12
-            if server.state is None or server.started is None or started > server.started + 1:
+            if server.started is None or started > server.started + 1:
                 server.started = started
                 if self.now - started < self.cold:
                     self.restart(server)
-            server.state = e.state
-            server.zone, server.size = e.zone, e.size if self.sized and e.size > 0 else 1.0
+            server.state, server.zone = e.state, e.zone
+            server.size = e.size if self.sized and e.size > 0 else 1.0
         self.urgent = True
 
     def restart(self, server):
@@ -220,23 +212,20 @@
 
     def custody(self, event):
         piece = event.slice
-        piece.held, piece.present, piece.wanted = event.given, {}, {}
-        piece.push = piece.freed_at = None
+        piece.held, piece.present, piece.wanted, piece.push, piece.freed_at = event.given, {}, {}, None, None
         self.urgent = True
 
     def stored(self, event):
-        event.slice.present[event.server] = event.weight
-        event.slice.wanted[event.server] = event.weight
+        event.slice.present[event.server] = event.slice.wanted[event.server] = event.weight
         self.urgent = True
 
     def server_report(self, event):
         server = event.server
         if event.tries > event.bad and event.latency > 0:
             server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
-        server.outcomes.add(0, event.tries - event.bad)
-        server.outcomes.add(1, event.bad)
-        self.tried.add(0, event.tries - event.bad)
-        self.tried.add(1, event.bad)
+        for tally in (server.outcomes, self.tried):
+            tally.add(0, event.tries - event.bad)
+            tally.add(1, event.bad)
         if event.tries > event.bad:
             server.mute, self.good_at = 0, self.now
 
@@ -256,12 +245,12 @@
         self.urgent = self.urgent or event.outcome != "answered"
 
     def caught_up(self, event):
+        p = event.proxy
+        met = [push.serial for push in self.pushes if push.serial % 65536 == event.mark and p in push.waits]
+        p.answered = max([p.answered] + met)
         for push in self.pushes:
-            if push.serial % 65536 == event.mark and event.proxy.joined:
-                event.proxy.answered = max(event.proxy.answered, push.serial)
-        for push in self.pushes:
-            if push.serial <= event.proxy.answered:
-                push.waits.discard(event.proxy)
+            if push.serial <= p.answered:
+                push.waits.discard(p)
 
     TAKES = {core.Members: members, core.Joined: joined, core.Parted: parted, core.Custody: custody,
              core.Stored: stored, core.ServerReport: server_report, core.SliceReport: slice_report,
@@ -272,11 +261,9 @@
     def judge(self):
         if self.now >= self.halved_at + HALF_LIFE:
             self.halved_at = self.now
-            for server in self.servers:
-                server.latency.halve()
-                server.outcomes.halve()
-            for piece in self.slices:
-                piece.heat.halve()
+            tallies = [t for s in self.servers for t in (s.latency, s.outcomes)]
+            for tally in tallies + [p.heat for p in self.slices]:
+                tally.halve()
             self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
@@ -291,8 +278,8 @@
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
                 server.latency.middle() or 0.0) < self.sore
-            # Unanswered probes count only while good news of others flows: a full server answers them late too,
-            # and where no report says that it still works, the silence may be ours.
+            # Unanswered probes count only while good news of others flows: a full server answers them late,
+            # and where no report can say that it still works, the silence may be ours.
             mute = server.mute >= MUTE_PROBES and self.now - self.good_at < NEWS * self.report_period
             if server.streak >= DEAD_PROBES or (mute or failing) and not self.strained:
                 suspects.append(server)
@@ -329,7 +316,7 @@
         self.tried, self.came = Tally(2), 0.0
         if bad > BUSY * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
-            self.levelled_at += LEVEL_EVERY  # the queues of what was let in before must drain first
+            self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
         elif bad < CALM * (good + bad):
             self.level = min(1.0, LEVEL_UP * self.level)
 
@@ -344,8 +331,8 @@
         self.weigh(mine)
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
         for server in self.servers:
-            # A cold server that holds slices from before its start is cut to what it can do, or it falls over.
-            over = server.load - 1.4 * self.cold_part * self.usual * server.sure
+            # A cold server with slices from before its start is cut to what it can do, or it falls over.
+            over = server.load - 1.4 * self.usual * server.sure
             for piece in self.owned(mine, server) if server.grade == COLD else ():
                 if over > 0:
                     lost.append(piece)
@@ -356,12 +343,11 @@
             # From one ill server to another is no rescue, only churn.
             if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > ILL:
                 self.move(piece, to or owner)
-        if self.one_owner:
-            return
-        self.refill(mine)
-        self.fill(mine)
-        for piece in mine:
-            self.spare(piece)
+        if not self.one_owner:
+            self.refill(mine)
+            self.fill(mine)
+            for piece in mine:
+                self.spare(piece)
 
     def weigh(self, mine):
         raw = [sum(w * b for w, b in zip(self.work, p.heat.bins)) for p in mine]
@@ -376,15 +362,14 @@
         total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
-        # What a cold server may hold goes by the fleet at its largest: with many lost, a fair part would fell it.
+        # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
-        self.cold_part = self.cold_most * (0.7 if self.strained else 1.0)
-        self.usual = total / self.fleet if self.fleet else 0.0
+        self.usual = (0.7 if self.strained else 1.0) * self.cold_most * total / max(self.fleet, 1e-6)
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
-            return server.load + demand <= self.cold_part * self.usual * server.sure
+            return server.load + demand <= self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def owned(self, mine, server):
@@ -397,26 +382,23 @@
     def choose(self, piece, pool):
         spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
         for some in (spares, pool):
-            fit = [s for s in some if self.fits(s, piece.demand, FULL)]
-            if fit:
+            if fit := [s for s in some if self.fits(s, piece.demand, FULL)]:
                 return max(fit, key=lambda s: self.score(piece, s))
         for grade in (WARM, ILL, COLD):
-            some = [s for s in pool if s.grade == grade]
-            if some:
-                return min(some, key=lambda s: (s.load + piece.demand) / max(s.capacity, 1e-6))
+            if some := [s for s in pool if s.grade == grade]:
+                return min(some, key=lambda s: self.part(s, piece.demand))
         return None
 
     def move(self, piece, to):
         old = piece.owner()
-        if to is old and to is not None and to.grade > CLOSED:
+        if to is old and old and old.grade > CLOSED:
             return
         piece.wanted = {s: w for s, w in piece.wanted.items() if s is not old and s is not to and w < 1}
-        if to is not None and to.grade > CLOSED:
+        if to and to.grade > CLOSED:
             piece.wanted[to] = 1.0
             to.load += piece.demand
-            to.got_at = piece.moved_at = self.now
-            piece.push = None
-        if old is not None:
+            to.got_at, piece.moved_at, piece.push = self.now, self.now, None
+        if old:
             old.load -= piece.demand
 
     def settled(self, piece):
@@ -429,8 +411,8 @@
         # One slice a push for each server that came back: the filler alone would take the rest of the day.
         for server in [s for s in self.servers if s.returning and s.grade >= COLD]:
             server.returning = server.grade == COLD or self.part(server) < 0.8
-            fits = [p for p in mine if (o := p.owner()) is not server and o and self.fits(server, p.demand, 0.9)
-                    and self.part(o, -p.demand) >= 0.9 and self.settled(p)]
+            fits = [p for p in mine if (o := p.owner()) and o is not server and self.settled(p)
+                    and self.fits(server, p.demand, 0.9) and self.part(o, -p.demand) >= 0.9]
             if fits and self.now - server.got_at >= PUSH_GAP:
                 self.move(max(fits, key=lambda p: (self.part(p.owner()), p.demand)), server)
 
@@ -443,7 +425,7 @@
                 crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
                 server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
         # With no news, heat is of the past.
-        if self.strained or not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
+        if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
         for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
                              and self.now - max(s.gave_at, s.got_at) > FILL),
@@ -465,25 +447,19 @@
 
     def spare(self, piece):
         owner = piece.owner()
-        spares = [s for s in piece.wanted if s is not owner]
-        if owner is None or spares and all(s.grade == WARM for s in spares) and len(spares) == 1:
+        if owner is None or [s.grade for s in piece.wanted if s is not owner] == [WARM]:
             return
         good = [s for s in self.servers if s.grade == WARM and s is not owner]
+        # Whatever takes the owner may take its zone.
         away = [s for s in good if s.zone != owner.zone] or good
         piece.wanted = {owner: piece.wanted[owner]}
         if away:
             piece.wanted[max(away, key=lambda s: self.score(piece, s))] = SPARE
 
     def spread(self, table):
-        # Sites without slices: one table of all that may be used, by capacity in coarse steps.
-        zoned = [s for s in self.servers if table.zone is None or s.zone == table.zone]
-        for grades in ((WARM, COLD), (ILL,)):
-            use = [s for s in zoned if s.grade in grades]
-            if use:
-                break
-        if any(s.grade == WARM for s in use):
-            # Cold servers come in by warmth; their part of all traffic stays what they can surely do.
-            use = [s for s in use if s.grade != COLD or s.capacity > 0.3 * s.size]
+        # Without slices: one table of all that may be used, by capacity in coarse steps; cold ones join late.
+        zoned = [s for s in self.servers if s.grade > CLOSED and table.zone in (None, s.zone)]
+        use = [s for s in zoned if s.grade == WARM or s.grade == COLD and s.sure > 0.3 * s.size] or zoned
         table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
 
     # Orders
@@ -517,11 +493,11 @@
                 piece.present = left
                 piece.freed_at = self.now if not left else None
                 moved.append(piece)
-        if not self.sliced:
-            for p in joined:
-                if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= room:
-                    p.bound = True
-                    orders += self.binding(p)
+        for p in () if self.sliced else joined:
+            if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= room:
+                p.bound = True
+                own = self.slices[1 + p.zone:2 + p.zone] if self.own_zone else []
+                orders += [core.Bind(p, self.slices[0], 0)] + [core.Bind(p, t, self.own_zone) for t in own]
         if not orders:
             return []
         self.serial += 1
@@ -536,8 +512,8 @@
     def tries(self):
         # Further tries after any failure help against single servers, and drown a fleet that is full.
         keen = 0 if self.strained or self.busy else self.repeatable
-        return [core.Tries(mask, self.level, further)
-                for mask, further in ((self.all_classes & ~keen, 0 if self.strained else 1), (keen, 2)) if mask]
+        rest = (self.all_classes & ~keen, 0 if self.strained else 1)
+        return [core.Tries(mask, self.level, further) for mask, further in (rest, (keen, 2)) if mask]
 
     def pressing(self, piece):
         gone = [s.grade for s in piece.present if s not in piece.wanted]
@@ -554,12 +530,6 @@
         lines += [core.Line(piece, s, 0.0) for s in piece.present if s not in piece.wanted]
         return lines, dict(piece.wanted)
 
-    def binding(self, proxy):
-        orders = [core.Bind(proxy, self.slices[0], 0)]
-        if self.own_zone and 1 + proxy.zone < len(self.slices):
-            orders.append(core.Bind(proxy, self.slices[1 + proxy.zone], self.own_zone))
-        return orders
-
     def ask_around(self):
         orders = []
         if self.now >= self.ask_at:
