--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -56,7 +56,8 @@
             window=ms(c, "window", 0.0), own_zone=k < len(zonal) and bool(zonal[k]))
         for k, c in enumerate(take(raw, "requestClasses", list))]
     return core.Settings(
-        classes=classes, zones=len(take(raw, "localities", list, [None])), zone=take(raw, "zone", int, 0),
+        classes=classes, controllers=take(raw, "balancers", int, 1),
+        zones=len(take(raw, "localities", list, [None])), zone=take(raw, "zone", int, 0),
         slices=take(family, "keyRanges", int, 0), one_owner=take(family, "oneOwner", bool, False),
         lease=ms(family, "lease", 0.0), lingers=ms(family, "lingers", 0.0),
         queue_limit=take(family, "pendingMax", NUMBER, 1e9),
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -24,6 +24,7 @@
 class Settings:
     """The settings a controller starts with; a front fills in what its protocol states."""
     classes: list
+    controllers: int = 1       # how many share the slices
     zones: int = 1
     zone: int = 0
     slices: int = 0            # 0: proxies are bound to tables instead
