--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -80,7 +80,7 @@
         self.latency, self.outcomes, self.held = Tally(24), Tally(2), Tally(24)
         self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
         self.ill_till, self.rest = None, ILL_REST
-        self.load = self.own = self.capacity = self.sure = 0.0
+        self.load = self.capacity = self.sure = 0.0
         self.probed_at = self.got_at = self.gave_at = -1e9
 
 
@@ -113,7 +113,7 @@
         self.chance = seed % (1 << 64)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
-        self.sliced, self.one_owner, self.controllers = s.slices > 0, s.one_owner, s.controllers
+        self.sliced, self.one_owner = s.slices > 0, s.one_owner
         self.hold = max(s.lease, s.lingers) + s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
@@ -338,7 +338,7 @@
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
         for server in self.servers:
             # A cold server with slices from before its start is cut to what it can do, or it falls over.
-            over = server.own - 1.4 * self.usual * server.sure
+            over = server.load - 1.4 * self.usual * server.sure
             for piece in self.owned(mine, server) if server.grade == COLD else ():
                 if over > 0:
                     lost.append(piece)
@@ -360,20 +360,14 @@
         mean = sum(raw) / len(raw) if raw else 0.0
         self.heard = mean > 0
         for server in self.servers:
-            server.load = server.own = 0.0
+            server.load = 0.0
         for piece, heat in zip(mine, raw):
             piece.demand = 0.1 + 0.9 * heat / mean if mean else 1.0
             if owner := piece.owner():
-                owner.load = owner.own = owner.own + piece.demand
+                owner.load += piece.demand
         total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
-        held = {s: 2 ** (at / 3) - 1 for s in self.servers if (at := s.held.middle()) is not None and s.grade >= COLD}
-        if self.controllers > 1 and (all_held := sum(held.values())):
-            # Other controllers' slices are on servers that look empty from here: what a server holds shows them.
-            self.fair *= self.controllers
-            for server, ops in held.items():
-                server.load = max(server.own, self.controllers * total * ops / all_held)
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
@@ -381,7 +375,7 @@
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
-            return server.own + demand <= self.usual * server.sure
+            return server.load + demand <= self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def owned(self, mine, server):
@@ -408,10 +402,10 @@
         piece.wanted = {s: w for s, w in piece.wanted.items() if s is not old and s is not to and w < 1}
         if to and to.grade > CLOSED:
             piece.wanted[to] = 1.0
-            to.load, to.own = to.load + piece.demand, to.own + piece.demand
+            to.load += piece.demand
             to.got_at, piece.moved_at, piece.push = self.now, self.now, None
         if old:
-            old.load, old.own = old.load - piece.demand, old.own - piece.demand
+            old.load -= piece.demand
 
     def settled(self, piece):
         if piece.push is None:
@@ -439,10 +433,13 @@
         # With no news, heat is of the past.
         if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
+        # A server that this controller hardly uses is unheard, yet may be full of others' slices.
+        usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
         for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
                              and self.now - max(s.gave_at, s.got_at) > FILL),
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
+                      and (s.held.middle() or 0.0) <= usual_held
                       and self.now - max(s.gave_at, s.got_at) > FILL]
             for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
