--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -338,7 +338,7 @@
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
         for server in self.servers:
             # A cold server with slices from before its start is cut to what it can do, or it falls over.
-            over = server.load - 1.4 * self.usual * server.sure
+            over = server.load - 1.25 * self.usual * server.sure
             for piece in self.owned(mine, server) if server.grade == COLD else ():
                 if over > 0:
                     lost.append(piece)
@@ -371,7 +371,7 @@
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # A full fleet's clients come several times over, to a cold server too.
-        self.usual = (0.7 if self.strained else 1.0) * self.cold_most * total / max(self.fleet, 1e-6)
+        self.usual = (0.55 if self.strained else 1.0) * self.cold_most * total / max(self.fleet, 1e-6)
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
