--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -307,9 +307,10 @@
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
-            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
-            server.sure = server.size * warmth
-            server.capacity = server.sure / max(self.spans[0], min(self.spans[1], server.heat))
+            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out. One
+            # that is slow though the bounds let it have more is near its fall: there heat counts in full.
+            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
+            server.sure = server.size * warmth / max(1.0, min(3.0, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
