--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -12,6 +12,7 @@
 from . import interface as core
 
 SLOWEST = 8.0         # how many times slower than stated the channel may be
+EASY = 0.4            # of the room in the channel, for lines that can wait
 TICK = 250.0          # how often the plan is looked at without news
 PUSH_GAP = 1000.0     # the design's one gathered push a second
 PROBE_EVERY = 500.0
@@ -498,7 +499,8 @@
             self.levels = levels
         for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
             lines, left = self.difference(piece)
-            if lines and len(orders) + len(lines) <= room:
+            # Lines that can wait leave most of the channel free: the next second may bring a drain.
+            if lines and len(orders) + len(lines) <= room * (1.0 if self.pressing(piece)[0] <= ILL else EASY):
                 orders += lines
                 piece.present = left
                 piece.freed_at = self.now if not left else None
@@ -536,9 +538,11 @@
         if self.one_owner and piece.freed_at is not None and (
                 self.now - piece.freed_at < self.hold or not self.settled(piece)):
             return [], {}
-        lines = [core.Line(piece, s, w) for s, w in piece.wanted.items() if piece.present.get(s) != w]
-        lines += [core.Line(piece, s, 0.0) for s in piece.present if s not in piece.wanted]
-        return lines, dict(piece.wanted)
+        # Out of a closed server first: where many leave at once, new spare lines would hold up the drain.
+        hurry, owner = any(s.grade == CLOSED for s in piece.present), piece.owner()
+        out = {s: w for s, w in piece.wanted.items() if not hurry or s is owner or s in piece.present}
+        lines = [core.Line(piece, s, w) for s, w in out.items() if piece.present.get(s) != w]
+        return lines + [core.Line(piece, s, 0.0) for s in piece.present if s not in out], out
 
     def ask_around(self):
         orders = []
