--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -25,8 +25,7 @@
 STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
 CALM = 0.02           # ends both
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
-ILL_REST = 2500.0     # twice this an ill server rests at first, and at most ILL_MOST
-ILL_MOST = 20000.0
+ILL_REST = 6000.0     # an ill server is left alone at least so long
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
@@ -76,11 +75,10 @@
 class Server:
     def __init__(self, ident):
         self.id = ident
-        self.state, self.started = None, None      # state None: in a line of the store, in no list yet
+        self.state = self.started = self.ill_till = None  # state None: in a line of the store, in no list yet
         self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, CLOSED, 1.0, 0
         self.latency, self.outcomes, self.held = Tally(24), Tally(2), Tally(24)
         self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
-        self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
         self.probed_at = self.got_at = self.gave_at = -1e9
 
@@ -111,7 +109,6 @@
 class Controller:
     def __init__(self, settings, seed):
         s = settings
-        self.chance = seed % (1 << 64)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner = s.slices > 0, s.one_owner
@@ -153,10 +150,6 @@
         self.proxies.append(Proxy(ident))
         return self.proxies[-1]
 
-    def draw(self):
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return (self.chance >> 33) / (1 << 31)
-
     # What came in
 
     def turn(self, now, events):
@@ -198,7 +191,7 @@
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
         server.latency, server.outcomes = Tally(24), Tally(2)
-        server.ill_till, server.rest, server.returning = None, ILL_REST, True
+        server.ill_till, server.returning = None, True
         server.streak = server.mute = 0
 
     def joined(self, event):
@@ -294,9 +287,7 @@
             # More than half ill at once is more likely our own cut, a stall or overload.
             for server in suspects:
                 if server.ill_till is None:
-                    # Each time it falls ill again it rests twice as long, for it was let back too early.
-                    server.rest = min(2 * server.rest, ILL_MOST)
-                    server.ill_till, server.outcomes = self.now + server.rest, Tally(2)
+                    server.ill_till, server.outcomes = self.now + ILL_REST, Tally(2)
         for server in ready:
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
@@ -447,9 +438,8 @@
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
-                    fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
-                    # Chance between the two best: other controllers see the same coolest server.
-                    self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
+                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand) * (
+                        1.0 if self.sized else s.heat)))
                     giver.gave_at = self.now
                     break
 
