--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -8,6 +8,7 @@
 from collections import deque
 from hashlib import blake2b
 from math import log, log2
+from types import SimpleNamespace
 
 from . import interface as core
 
@@ -16,27 +17,21 @@
 TICK = 250.0          # how often the plan is looked at without news
 PUSH_GAP = 1000.0     # the design's one gathered push a second
 PROBE_EVERY = 500.0
-DEAD_PROBES = 2       # connects refused or broken in a row
-MUTE_PROBES = 3       # probes unanswered in a row
+DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
-BAD_SHARE = 0.3       # of tries, with at least BAD_TRIES of them heard
-BAD_TRIES = 6.0
-BUSY = 0.06           # of all tries fail: no further tries but after proof
-STRAIN = 0.06         # of the middle server's tries fail: the fleet is full
-CALM = 0.02           # ends both
+BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
+BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
-ILL_REST = 6000.0     # an ill server is left alone at least so long
+ILL_REST, ILL_MOST = 2500.0, 20000.0  # twice the first an ill server rests at first, and at most the other
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
-LEVEL_AIM = 0.9
+LEVEL_AIM, LEVEL_LEAST = 0.9, 0.25
 LEVEL_UP = 1.2        # a step, once hardly any try fails
-LEVEL_LEAST = 0.25
 COLD_PART = 0.5       # of the stated multiple that fells it, in usual parts: what a cold server holds
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
-FILL_REPORTS = 2      # that a gap must hold
-FILL_REST = 8000.0    # of a slice after a move
+FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 CROWDED = 1.5         # of its fair part of the demand makes a giver too
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
@@ -56,11 +51,8 @@
     def halve(self):
         self.bins = [b / 2 if b > 0.1 else 0.0 for b in self.bins]
 
-    def total(self):
-        return sum(self.bins)
-
     def middle(self):
-        left = self.total() / 2
+        left = sum(self.bins) / 2
         for at, count in enumerate(self.bins):
             if count >= left and count:
                 return at + left / count
@@ -75,10 +67,11 @@
 class Server:
     def __init__(self, ident):
         self.id = ident
-        self.state = self.started = self.ill_till = None  # state None: in a line of the store, in no list yet
+        self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, CLOSED, 1.0, 0
         self.latency, self.outcomes, self.held = Tally(24), Tally(2), Tally(24)
         self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
+        self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
         self.probed_at = self.got_at = self.gave_at = -1e9
 
@@ -101,14 +94,10 @@
         self.joined, self.rate, self.zone, self.answered, self.bound = False, 1.0, 0, 0, False
 
 
-class Push:
-    def __init__(self, serial, each, waits):
-        self.serial, self.each, self.waits = serial, each, waits
-
-
 class Controller:
     def __init__(self, settings, seed):
         s = settings
+        self.chance = seed % (1 << 64)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner = s.slices > 0, s.one_owner
@@ -150,7 +139,9 @@
         self.proxies.append(Proxy(ident))
         return self.proxies[-1]
 
-    # What came in
+    def draw(self):
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return (self.chance >> 33) / (1 << 31)
 
     def turn(self, now, events):
         self.now = now
@@ -191,7 +182,7 @@
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
         server.latency, server.outcomes = Tally(24), Tally(2)
-        server.ill_till, server.returning = None, True
+        server.ill_till, server.rest, server.returning = None, ILL_REST, True
         server.streak = server.mute = 0
 
     def joined(self, event):
@@ -256,8 +247,6 @@
              core.Stored: stored, core.ServerReport: server_report, core.SliceReport: slice_report,
              core.Probed: probed, core.Answered: caught_up}
 
-    # What is known of servers and slices
-
     def judge(self):
         if self.now >= self.halved_at + HALF_LIFE:
             self.halved_at = self.now
@@ -269,7 +258,7 @@
         suspects = []
         # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
         # slices would drown the next one. The same holds for standing proxies and for our own cut.
-        middle = middle_of([s.outcomes.bins[1] / max(1.0, s.outcomes.total()) for s in ready], 0.0)
+        middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
         self.strained = middle > (CALM if self.strained else STRAIN)
         good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
         self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
@@ -287,7 +276,9 @@
             # More than half ill at once is more likely our own cut, a stall or overload.
             for server in suspects:
                 if server.ill_till is None:
-                    server.ill_till, server.outcomes = self.now + ILL_REST, Tally(2)
+                    # Each time it falls ill again it rests twice as long, for it was let back too early.
+                    server.rest = min(2 * server.rest, ILL_MOST)
+                    server.ill_till, server.outcomes = self.now + server.rest, Tally(2)
         for server in ready:
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
@@ -299,8 +290,8 @@
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
-            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out. One
-            # that is slow though the bounds let it have more is near its fall: there heat counts in full.
+            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
+            # One that is slow though the bounds let it have more is near its fall: there heat counts in full.
             server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
             server.sure = server.size * warmth / max(1.0, min(3.0, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
@@ -319,8 +310,6 @@
         elif bad < CALM * (good + bad):
             self.level = min(1.0, LEVEL_UP * self.level)
 
-    # What should be out
-
     def plan(self):
         mine = [p for p in self.slices if p.held]
         if not self.sliced:
@@ -438,8 +427,9 @@
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
-                    self.move(piece, min(fit, key=lambda s: self.part(s, piece.demand) * (
-                        1.0 if self.sized else s.heat)))
+                    fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
+                    # Chance between the two best: other controllers see the same coolest server.
+                    self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
                     giver.gave_at = self.now
                     break
 
@@ -463,8 +453,6 @@
         use = [s for s in zoned if s.grade == WARM or s.grade == COLD and s.sure > 0.3 * s.size] or zoned
         table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
 
-    # Orders
-
     def waiting(self):
         while self.pushes and not self.pushes[0].waits:
             self.pushes.popleft()
@@ -506,7 +494,7 @@
         for piece in moved:
             piece.push = self.serial
         each = len(orders) + 1 + self.head + len(self.levels)
-        self.pushes.append(Push(self.serial, each, set(joined)))
+        self.pushes.append(SimpleNamespace(serial=self.serial, each=each, waits=set(joined)))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, False)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 from helpers import controller, fleet, heard, join, lines, slices
 
@@ -52,7 +54,7 @@
 def test_queue_is_known_by_answers_and_by_the_slowest_pace(after, answered, most):
     c = controller()
     proxies = join(c, 2)
-    c.pushes.append(rules.Push(1, 100.0, set(proxies)))
+    c.pushes.append(SimpleNamespace(serial=1, each=100.0, waits=set(proxies)))
     c.queued, c.queued_at, c.serial = 5000.0, c.now, 1
     c.now += after
     if answered:
@@ -64,7 +66,7 @@
 def test_broken_stream_clears_what_the_proxy_answered():
     c = controller()
     p, q = join(c, 2)
-    c.pushes.append(rules.Push(1, 10.0, {p, q}))
+    c.pushes.append(SimpleNamespace(serial=1, each=10.0, waits={p, q}))
     c.caught_up(core.Answered(p, 1, 1.0))
     c.parted(core.Parted(p))
     assert p.answered == 0 and c.pushes[0].waits == {q}
@@ -80,6 +82,18 @@
     assert sorted([tidy, urgent], key=c.pressing)[0] is urgent
 
 
+def test_closed_servers_are_left_before_new_spares_are_laid():
+    # Three drains at once of servers that held most spares once filled the channel beyond the grace.
+    c = controller()
+    a, b, d = fleet(c, 3)
+    piece, = slices(c, [a])
+    piece.present = {a: 1.0, b: rules.SPARE}
+    piece.wanted = {b: 1.0, d: rules.SPARE}
+    a.state = "draining"
+    c.judge()
+    assert {(o.server, o.weight) for o in c.difference(piece)[0]} == {(b, 1.0), (a, 0.0)}
+
+
 @pytest.mark.parametrize("state", ["draining", "gone"])
 def test_closed_server_is_left_whole_and_never_an_empty_table(state):
     c = controller()
@@ -188,6 +202,24 @@
     assert (servers[0].ill_till is not None) == ill
 
 
+def test_a_receiver_holds_no_more_than_the_middle_server():
+    # Another controller's servers are unheard here and look average, however full they are.
+    c = controller(sized=False)
+    servers = fleet(c, 4)
+    made = slices(c, [servers[0]] * 6 + servers[1:2])
+    join(c, 1)
+    c.heard, c.good_at, c.reported_at, servers[0].hot = True, c.now, c.now, rules.FILL_REPORTS
+    for s, ops in zip(servers, (9, 2, 2, 30)):
+        c.told(core.Probed(s, "answered", 5.0, {"held": ops}))
+    c.judge()
+    servers[0].heat = 3.0
+    c.weigh(made)
+    c.heard = True
+    c.fill(made)
+    assert sum(p.owner() is servers[0] for p in made) == 5
+    assert not any(p.owner() is servers[3] for p in made)
+
+
 def test_a_good_report_ends_the_silence_of_probes():
     c = controller()
     server, = fleet(c, 1)
