--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -298,7 +298,7 @@
             # One that is slow though the bounds let it have more is near its fall: there heat counts in full.
             slow = server.usual.middle()
             slow = 1.0 if slow is None or slow_median is None else 2 ** ((slow - slow_median) / 3)
-            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], slow))
+            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], max(slow, server.heat)))
             server.sure = server.size * warmth / max(1.0, min(3.0, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
