--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -69,7 +69,7 @@
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, CLOSED, 1.0, 0
-        self.latency, self.usual, self.outcomes, self.held = Tally(24), Tally(24), Tally(2), Tally(24)
+        self.latency, self.outcomes, self.held = Tally(24), Tally(2), Tally(24)
         self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
         self.ill_till, self.rest = None, ILL_REST
         self.load = self.capacity = self.sure = 0.0
@@ -117,7 +117,7 @@
         self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
         self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
         self.servers, self.slices, self.proxies = [], [], []
-        self.pushes, self.serial, self.next_push, self.halvings = deque(), 0, -1e9, 0
+        self.pushes, self.serial, self.next_push = deque(), 0, -1e9
         self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
         self.listed, self.booted_at, self.urgent = False, None, True
         self.fleet, self.strained, self.busy = 0.0, False, False
@@ -181,7 +181,7 @@
 
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
-        server.latency, server.usual, server.outcomes = Tally(24), Tally(24), Tally(2)
+        server.latency, server.outcomes = Tally(24), Tally(2)
         server.ill_till, server.rest, server.returning = None, ILL_REST, True
         server.streak = server.mute = 0
 
@@ -207,8 +207,7 @@
     def server_report(self, event):
         server = event.server
         if event.tries > event.bad and event.latency > 0:
-            for tally in (server.latency, server.usual):
-                tally.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
+            server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
         self.told(event)
         for tally in (server.outcomes, self.tried):
             tally.add(0, event.tries - event.bad)
@@ -252,9 +251,7 @@
         if self.now >= self.halved_at + HALF_LIFE:
             self.halved_at = self.now
             tallies = [t for s in self.servers for t in (s.latency, s.outcomes, s.held)]
-            self.halvings += 1
-            slow = [s.usual for s in self.servers] if self.halvings % 4 == 0 else []
-            for tally in tallies + slow + [p.heat for p in self.slices]:
+            for tally in tallies + [p.heat for p in self.slices]:
                 tally.halve()
             self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
@@ -286,7 +283,6 @@
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
         median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
-        slow_median = middle_of([m for s in ready if (m := s.usual.middle()) is not None], None)
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         listed = self.listed or self.now - self.booted_at > 3000.0
         for server in self.servers:
@@ -296,9 +292,7 @@
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             # One that is slow though the bounds let it have more is near its fall: there heat counts in full.
-            slow = server.usual.middle()
-            slow = 1.0 if slow is None or slow_median is None else 2 ** ((slow - slow_median) / 3)
-            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], max(slow, server.heat)))
+            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
             server.sure = server.size * warmth / max(1.0, min(3.0, server.heat))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
