--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -488,7 +488,10 @@
                 p.bound = True
                 own = self.slices[1 + p.zone:2 + p.zone] if self.own_zone else []
                 orders += [core.Bind(p, self.slices[0], 0)] + [core.Bind(p, t, self.own_zone) for t in own]
-        if not orders:
+        # A proxy that joined anew holds the store's lines, but only a mark tells: unasked, it pins every slice.
+        asked = {p for push in self.pushes for p in push.waits}
+        silent = any(p.answered < self.serial and p not in asked for p in joined)
+        if not orders and not silent:
             return []
         self.serial += 1
         for piece in moved:
@@ -497,7 +500,7 @@
         self.pushes.append(SimpleNamespace(serial=self.serial, each=each, waits=set(joined)))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
-        return orders + [core.Mark(self.serial % 65536, False)]
+        return orders + [core.Mark(self.serial % 65536, silent)]
 
     def tries(self):
         # Further tries after any failure help against single servers, and drown a fleet that is full.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -63,6 +63,24 @@
     assert c.waiting() == most
 
 
+def test_proxy_that_joined_anew_is_asked_for_its_mark():
+    # Its empty record once pinned every slice for the rest of the day.
+    c = controller()
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    p, q = join(c, 2)
+    piece.wanted = {b: 1.0}
+    c.emit()
+    for proxy in (p, q):
+        c.caught_up(core.Answered(proxy, 1, 300.0))
+    c.parted(core.Parted(q))
+    c.joined(core.Joined(q, 0, 5.0, False))
+    c.now += 1000
+    assert c.emit() == [core.Mark(2, True)]
+    c.now += 1000
+    assert c.emit() == []
+
+
 def test_broken_stream_clears_what_the_proxy_answered():
     c = controller()
     p, q = join(c, 2)
