--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -418,7 +418,7 @@
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
         usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
         for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
-                             and self.now - max(s.gave_at, s.got_at) > FILL),
+                             and self.now - s.gave_at > FILL * min(1.0, 2 / s.heat)),
                             key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and (s.held.middle() or 0.0) <= usual_held
