--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -411,15 +411,14 @@
                 # Demand shows a crowded server seconds before its latency does, and where latency is silent.
                 # Where the list states no sizes, a part of the demand tells nothing of fullness.
                 crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
-                server.hot = server.hot + 1 if crowded or server.heat > GAP else 0
+                server.hot = server.hot + 1 if server.grade >= COLD and (crowded or server.heat > GAP) else 0
         # With no news, heat is of the past.
         if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
         usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
-        for giver in sorted((s for s in self.servers if s.hot >= FILL_REPORTS and s.grade >= COLD
-                             and self.now - s.gave_at > FILL * min(1.0, 2 / s.heat)),
-                            key=lambda s: -max(s.heat, self.part(s))):
+        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > FILL]
+        for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and (s.held.middle() or 0.0) <= usual_held
                       and self.now - max(s.gave_at, s.got_at) > FILL]
@@ -488,7 +487,7 @@
                 p.bound = True
                 own = self.slices[1 + p.zone:2 + p.zone] if self.own_zone else []
                 orders += [core.Bind(p, self.slices[0], 0)] + [core.Bind(p, t, self.own_zone) for t in own]
-        # A proxy that joined anew holds the store's lines, but only a mark tells: unasked, it pins every slice.
+        # A proxy that joined anew holds the store's lines, but only a mark tells: unasked, it pins slices.
         asked = {p for push in self.pushes for p in push.waits}
         silent = any(p.answered < self.serial and p not in asked for p in joined)
         if not orders and not silent:
