--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -291,9 +291,10 @@
             age = self.now - server.started if server.started is not None else 1e12
             warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
-            # One that is slow though the bounds let it have more is near its fall: there heat counts in full.
+            # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
             server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
-            server.sure = server.size * warmth / max(1.0, min(3.0, server.heat))
+            slow = max(server.heat, 2 ** ((at - self.sore) / 3) if at is not None else 0.0)
+            server.sure = server.size * warmth / max(1.0, min(3.0, slow))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
@@ -352,7 +353,6 @@
         self.fair = total / usable if usable else 1e9
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
-        # A full fleet's clients come several times over, to a cold server too.
         self.usual = (0.55 if self.strained else 1.0) * self.cold_most * total / max(self.fleet, 1e-6)
 
     def fits(self, server, demand, part):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -183,6 +183,17 @@
     assert servers[0].sure == pytest.approx(0.25)
 
 
+def test_cold_server_slow_by_quoted_times_counts_as_smaller():
+    # In a jam the median is slow as well and hid a cold server near its fall.
+    c = controller()
+    servers = fleet(c, 4, started=100_000.0 - 8000.0)
+    for s in servers:
+        heard(c, s, 40, latency=1000.0)
+    c.judge()
+    assert servers[0].heat == pytest.approx(1.0)
+    assert servers[0].sure < 0.6 / 2
+
+
 @pytest.mark.parametrize("bad, latency, rest_bad, ill", [
     (30, 100.0, 0, True),      # fails fast beside quick answers
     (30, 900.0, 0, False),     # full: fails beside slow answers
