--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -267,10 +267,11 @@
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
                 server.latency.middle() or 0.0) < self.sore
-            # Unanswered probes count only while good news of others flows: a full server answers them late,
-            # and where no report can say that it still works, the silence may be ours.
-            mute = server.mute >= MUTE_PROBES and self.now - self.good_at < NEWS * self.report_period
-            if server.streak >= DEAD_PROBES or (mute or failing) and not self.strained:
+            # Unanswered probes count only while good news of others flows: a full server answers them late, and
+            # where no report can say that it works, the silence may be ours. In a jam it must last longer.
+            silent = server.mute >= MUTE_PROBES * (2 if self.strained else 1)
+            mute = silent and self.now - self.good_at < NEWS * self.report_period
+            if server.streak >= DEAD_PROBES or mute or failing and not self.strained:
                 suspects.append(server)
         if 2 * sum(s.ill_till is not None or s in suspects for s in ready) <= len(ready):
             # More than half ill at once is more likely our own cut, a stall or overload.
