--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -107,7 +107,7 @@
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
         self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
-        self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
+        self.spans, self.rest = ((0.5, 1.6), FILL / 2) if s.sized else ((0.75, 1.35), FILL)
         self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
         # A repeat may take effect twice, but not of safe classes, or where all servers drop it long enough.
         again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
@@ -267,8 +267,8 @@
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
             failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
                 server.latency.middle() or 0.0) < self.sore
-            # Unanswered probes count only while good news of others flows: a full server answers them late, and
-            # where no report can say that it works, the silence may be ours. In a jam it must last longer.
+            # Unanswered probes count only while good news of others flows: a full server answers them late,
+            # and where no report says that it works, the silence may be ours. In a jam it must last longer.
             silent = server.mute >= MUTE_PROBES * (2 if self.strained else 1)
             mute = silent and self.now - self.good_at < NEWS * self.report_period
             if server.streak >= DEAD_PROBES or mute or failing and not self.strained:
@@ -422,7 +422,7 @@
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and (s.held.middle() or 0.0) <= usual_held
-                      and self.now - max(s.gave_at, s.got_at) > FILL]
+                      and self.now - max(s.gave_at, s.got_at) > self.rest]
             for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
