--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -12,8 +12,7 @@
 
 from . import interface as core
 
-SLOWEST = 8.0         # how many times slower than stated the channel may be
-EASY = 0.4            # of the room in the channel, for lines that can wait
+SLOWEST, EASY = 8.0, 0.4  # times slower the channel may be; of its room, for lines that can wait
 TICK = 250.0          # how often the plan is looked at without news
 PUSH_GAP = 1000.0     # the design's one gathered push a second
 PROBE_EVERY = 500.0
@@ -107,7 +106,7 @@
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
         self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
-        self.spans, self.rest = ((0.5, 1.6), FILL / 2) if s.sized else ((0.75, 1.35), FILL)
+        self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
         self.ask_again, self.ask_at = s.ask_within / 4, -1e9 if s.ask else 1e18
         # A repeat may take effect twice, but not of safe classes, or where all servers drop it long enough.
         again = [c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
@@ -422,7 +421,7 @@
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and (s.held.middle() or 0.0) <= usual_held
-                      and self.now - max(s.gave_at, s.got_at) > self.rest]
+                      and self.now - max(s.gave_at, s.got_at) > FILL]
             for piece in self.owned(mine, giver):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
@@ -517,7 +516,7 @@
             return [core.Clear(piece)], {}
         # A sole owner's writes must have ended everywhere before the next owner's begin.
         if self.one_owner and piece.freed_at is not None and (
-                self.now - piece.freed_at < self.hold or not self.settled(piece)):
+                self.now - piece.freed_at < self.hold or piece.push and not self.settled(piece)):
             return [], {}
         # Out of a closed server first: where many leave at once, new spare lines would hold up the drain.
         hurry, owner = any(s.grade == CLOSED for s in piece.present), piece.owner()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -325,6 +325,20 @@
     assert c.settled(piece)
 
 
+def test_cleared_slice_of_a_sole_owner_is_not_forgotten_when_its_next_owner_changes():
+    c = controller(one_owner=True, lease=1500.0, lingers=4000.0)
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    join(c, 1)
+    piece.wanted = {}
+    c.emit()
+    c.caught_up(core.Answered(c.proxies[0], 1, 300.0))
+    c.judge()
+    c.move(piece, b)
+    c.now += 6000
+    assert [o.server for o in lines(c.emit())] == [b]
+
+
 def test_sole_owner_changes_only_after_its_writes_have_ended():
     c = controller(one_owner=True, lease=1500.0, lingers=4000.0)
     a, b = fleet(c, 2)
