--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -477,7 +477,7 @@
         for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
             lines, left = self.difference(piece)
             # Lines that can wait leave most of the channel free: the next second may bring a drain.
-            if lines and len(orders) + len(lines) <= room * (1.0 if self.pressing(piece)[0] <= ILL else EASY):
+            if lines and len(orders) + len(lines) <= room * (1.0 if self.pressing(piece)[0] <= COLD else EASY):
                 orders += lines
                 piece.present = left
                 piece.freed_at = self.now if not left else None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -334,6 +334,7 @@
     c.emit()
     c.caught_up(core.Answered(c.proxies[0], 1, 300.0))
     c.judge()
+    c.weigh([piece])
     c.move(piece, b)
     c.now += 6000
     assert [o.server for o in lines(c.emit())] == [b]
