--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -31,7 +31,7 @@
 FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
-CROWDED = 1.5         # of its fair part of the demand makes a giver too
+CROWDED = 1.25        # of its fair part of the demand makes a giver too
 GAP = 1.35            # latency against the median that makes a giver
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
