--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -405,19 +405,18 @@
                 self.move(max(fits, key=lambda p: (self.part(p.owner()), p.demand)), server)
 
     def fill(self, mine):
-        # A server that this controller hardly uses is unheard, yet may be full of others' slices.
-        usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
         if self.now >= self.reported_at + self.report_period:
             self.reported_at = self.now
             for server in self.servers:
                 # Demand shows a crowded server seconds before its latency does, and where latency is silent.
                 # Where the list states no sizes, a part of the demand tells nothing of fullness.
-                crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED or (
-                    server.heat > 1.1 and (server.held.middle() or 0.0) > usual_held + 4)
+                crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
                 server.hot = server.hot + 1 if server.grade >= COLD and (crowded or server.heat > GAP) else 0
         # With no news, heat is of the past.
         if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
+        # A server that this controller hardly uses is unheard, yet may be full of others' slices.
+        usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > FILL]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
