--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -28,7 +28,7 @@
 LEVEL_AIM, LEVEL_LEAST = 0.9, 0.25
 LEVEL_UP = 1.2        # a step, once hardly any try fails
 COLD_PART = 0.5       # of the stated multiple that fells it, in usual parts: what a cold server holds
-FULL, ROOM = 1.25, 1.1  # of its fair part: what a server takes by the filler; as orphans
+FULL = 1.25           # of its fair part, what a server takes as orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 CROWDED = 1.5         # of its fair part of the demand makes a giver too
@@ -370,7 +370,7 @@
     def choose(self, piece, pool):
         spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
         for some in (spares, pool):
-            if fit := [s for s in some if self.fits(s, piece.demand, ROOM)]:
+            if fit := [s for s in some if self.fits(s, piece.demand, FULL)]:
                 return max(fit, key=lambda s: self.score(piece, s))
         for grade in (WARM, ILL, COLD):
             if some := [s for s in pool if s.grade == grade]:
