--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -34,6 +34,11 @@
     return json.dumps(message)[:120]
 
 
+def give_in(number, error):
+    # The wire wants a failure in the decisions declared, whatever its cause.
+    return {"kind": "GIVE_IN", "assignerId": number, "message": f"{type(error).__name__}: {error}"}
+
+
 def word(message, name, table):
     value = take(message, name, str)
     if value not in table:
@@ -179,8 +184,12 @@
         for message in take(batch, "inbox", list):
             kind, number = take(message, "kind", str), take(message, "assignerId", int)
             if kind == "BOOT":
-                self.doors[number] = Door(number, message)
-                waiting[number] = self.doors[number]
+                try:
+                    self.doors[number] = waiting[number] = Door(number, message)
+                except WireError:
+                    raise
+                except Exception as error:
+                    outbox.append(give_in(number, error))
             elif kind == "TEARDOWN":
                 self.doors.pop(number, None)
                 waiting.pop(number, None)
@@ -193,7 +202,6 @@
             events, door.inbox = door.inbox, []
             try:
                 outbox += [door.write(order) for order in door.controller.turn(now, events)]
-            except Exception as error:  # the wire wants a failed decision declared, whatever its cause
-                outbox.append({"kind": "GIVE_IN", "assignerId": number,
-                               "message": f"{type(error).__name__}: {error}"})
+            except Exception as error:
+                outbox.append(give_in(number, error))
         return json.dumps({"serial": serial, "outbox": outbox}, separators=(",", ":"))
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -60,3 +60,9 @@
     reply = send(link, BOOT, {**list_, "assignerId": 1}, twin, {**list_, "assignerId": 2})
     one, two = ([{**o, "assignerId": 0} for o in reply["outbox"] if o["assignerId"] == n] for n in (1, 2))
     assert one == two
+
+
+def test_settings_the_decisions_cannot_start_with_are_declared():
+    boot = {**BOOT, "settings": {**BOOT["settings"], "requestClasses": []}}
+    kinds = [o["kind"] for o in send(Link(), boot)["outbox"]]
+    assert kinds == ["GIVE_IN"]
