--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,7 +19,7 @@
 DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
-BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
+BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of tries: at a quarter of servers; at half; the end of either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 2500.0, 20000.0  # twice the first an ill server rests at first, and at most the other
 HALF_LIFE = 2500.0    # tallies are halved this often
@@ -257,10 +257,10 @@
         suspects = []
         # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
         # slices would drown the next one. The same holds for standing proxies and for our own cut.
-        middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
-        self.strained = middle > (CALM if self.strained else STRAIN)
-        good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
-        self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
+        shares = sorted(s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready) or [0.0]
+        self.strained = shares[len(shares) // 2] > (CALM if self.strained else STRAIN)
+        # A few crowded servers are what further tries are for; a quarter of them is a fleet filling up.
+        self.busy = shares[3 * len(shares) // 4] > (CALM if self.busy else BUSY)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
