--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,7 +19,7 @@
 DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
-BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of tries: at a quarter of servers; at half; the end of either
+STRAIN, CALM = 0.06, 0.02  # bad part of the middle server's tries: the fleet is full; and is not
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 2500.0, 20000.0  # twice the first an ill server rests at first, and at most the other
 HALF_LIFE = 2500.0    # tallies are halved this often
@@ -260,7 +260,7 @@
         shares = sorted(s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready) or [0.0]
         self.strained = shares[len(shares) // 2] > (CALM if self.strained else STRAIN)
         # A few crowded servers are what further tries are for; a quarter of them is a fleet filling up.
-        self.busy = shares[3 * len(shares) // 4] > (CALM if self.busy else BUSY)
+        self.busy = shares[3 * len(shares) // 4] > CALM
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
@@ -305,7 +305,7 @@
         self.levelled_at = self.now
         (good, bad), came = self.tried.bins, self.came
         self.tried, self.came = Tally(2), 0.0
-        if bad > BUSY * (good + bad) and self.strained:
+        if bad > STRAIN * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
         elif bad < CALM * (good + bad):
@@ -477,7 +477,8 @@
         for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
             lines, left = self.difference(piece)
             # Lines that can wait leave most of the channel free: the next second may bring a drain.
-            if lines and len(orders) + len(lines) <= room * (1.0 if self.pressing(piece)[0] <= COLD else EASY):
+            most = room if self.pressing(piece)[0] <= COLD else EASY * room
+            if lines and len(orders) + len(lines) <= most:
                 orders += lines
                 piece.present = left
                 piece.freed_at = self.now if not left else None
