--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -19,16 +19,15 @@
 DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
-STRAIN, CALM = 0.06, 0.02  # bad part of the middle server's tries: the fleet is full; and is not
+BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 2500.0, 20000.0  # twice the first an ill server rests at first, and at most the other
 HALF_LIFE = 2500.0    # tallies are halved this often
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
-LEVEL_AIM, LEVEL_LEAST = 0.9, 0.25
-LEVEL_UP = 1.2        # a step, once hardly any try fails
+LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.2  # the last a step, once hardly any try fails
 COLD_PART = 0.5       # of the stated multiple that fells it, in usual parts: what a cold server holds
-FULL = 1.25           # of its fair part, what a server takes as orphans
+FULL = 1.25           # of its fair part: what a server takes as a receiver or of orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 CROWDED = 1.5         # of its fair part of the demand makes a giver too
@@ -257,10 +256,10 @@
         suspects = []
         # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
         # slices would drown the next one. The same holds for standing proxies and for our own cut.
-        shares = sorted(s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready) or [0.0]
-        self.strained = shares[len(shares) // 2] > (CALM if self.strained else STRAIN)
-        # A few crowded servers are what further tries are for; a quarter of them is a fleet filling up.
-        self.busy = shares[3 * len(shares) // 4] > CALM
+        middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
+        self.strained = middle > (CALM if self.strained else STRAIN)
+        good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
+        self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
@@ -305,7 +304,7 @@
         self.levelled_at = self.now
         (good, bad), came = self.tried.bins, self.came
         self.tried, self.came = Tally(2), 0.0
-        if bad > STRAIN * (good + bad) and self.strained:
+        if bad > BUSY * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
         elif bad < CALM * (good + bad):
