With all servers cold, slices beyond their part stay bare

Cold parts go by three at the most where the multiple is four. Could do harm if the list took long to call servers warm: operations of bare slices are refused until then.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -102,7 +102,7 @@
         self.hold = max(s.lease, s.lingers) + s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
-        self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 4.0)
+        self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 3.0)
         self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
         self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
@@ -330,7 +330,7 @@
             to = self.choose(piece, [s for s in self.servers if s is not owner])
             # From one ill server to another is no rescue, only churn.
             if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > ILL:
-                self.move(piece, to or owner)
+                self.move(piece, to)
         if not self.one_owner:
             self.refill(mine)
             self.fill(mine)
@@ -371,17 +371,16 @@
         for some in (spares, pool):
             if fit := [s for s in some if self.fits(s, piece.demand, FULL)]:
                 return max(fit, key=lambda s: self.score(piece, s))
-        for grade in (WARM, ILL, COLD):
+        # Never a cold one beyond its part: with all cold, a bare slice is refused, a felled server is lost.
+        for grade in (WARM, ILL):
             if some := [s for s in pool if s.grade == grade]:
                 return min(some, key=lambda s: self.part(s, piece.demand))
         return None
 
     def move(self, piece, to):
         old = piece.owner()
-        if to is old and old and old.grade > CLOSED:
-            return
-        piece.wanted = {s: w for s, w in piece.wanted.items() if s is not old and s is not to and w < 1}
-        if to and to.grade > CLOSED:
+        piece.wanted = {s: w for s, w in piece.wanted.items() if to and s not in (old, to) and w < 1}
+        if to:
             piece.wanted[to] = 1.0
             to.load += piece.demand
             to.got_at, piece.moved_at, piece.push = self.now, self.now, None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,6 +123,20 @@
     assert all(p.wanted and servers[0] not in p.wanted for p in made)
 
 
+def test_with_all_servers_cold_slices_beyond_their_part_stay_bare():
+    # A deploy once left no warm server: all traffic went to the cold ones, and one fell over.
+    c = controller()
+    servers = fleet(c, 4)
+    made = slices(c, servers * 5)
+    fresh = fleet(c, 4, started=c.now - 1000.0)
+    for s in servers:
+        s.state = "draining"
+    c.judge()
+    c.plan()
+    assert 0 < sum(bool(p.wanted) for p in made) < len(made)
+    assert all(s.load <= c.usual * s.sure for s in fresh)
+
+
 def test_table_stays_when_nothing_else_is_ready():
     c = controller()
     a, b = fleet(c, 2)
