--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -26,12 +26,11 @@
 SPARE = 0.02          # weight of a slice's spare line, against 1
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.2  # the last a step, once hardly any try fails
-COLD_PART = 0.5       # of the stated multiple that fells it, in usual parts: what a cold server holds
+COLD_PART, WARY = 0.5, 12000.0  # of the multiple that fells a cold server, in usual parts; less after a start
 FULL = 1.25           # of its fair part: what a server takes as a receiver or of orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
-CROWDED = 1.5         # of its fair part of the demand makes a giver too
-GAP = 1.35            # latency against the median that makes a giver
+CROWDED, GAP = 1.5, 1.35  # what makes a giver: of its fair part of the demand; latency against the median
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
@@ -352,7 +351,9 @@
         self.fair = total / usable if usable else 1e9
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
-        self.usual = (0.55 if self.strained else 1.0) * self.cold_most * total / max(self.fleet, 1e-6)
+        # After a start neither demand nor strain is known, and the levels of before are gone.
+        wary = 0.55 if self.strained or self.now - self.booted_at < WARY else 1.0
+        self.usual = wary * self.cold_most * total / max(self.fleet, 1e-6)
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -137,6 +137,16 @@
     assert all(s.load <= c.usual * s.sure for s in fresh)
 
 
+@pytest.mark.parametrize("since, wary", [(1000.0, True), (rules.WARY + 1, False)])
+def test_cold_servers_get_less_right_after_a_start(since, wary):
+    # A controller restarted within a deploy knew no demand and had lost its levels.
+    c = controller()
+    made = slices(c, fleet(c, 4))
+    c.now += since
+    c.weigh(made)
+    assert (c.usual < c.cold_most * len(made) / c.fleet) == wary
+
+
 def test_table_stays_when_nothing_else_is_ready():
     c = controller()
     a, b = fleet(c, 2)
