--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -143,6 +143,8 @@
             case core.Line():
                 out |= {"kind": "LINE", "routeTable": order.slice.id, "task": order.server.id,
                         "part": order.weight}
+            case core.Withdraw():
+                out |= {"kind": "BENCH", "task": order.server.id, "active": order.out}
             case core.Mark():
                 out |= {"kind": "BARRIER", "rev": order.number, "active": order.everyone}
             case core.Probe():
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -152,6 +152,13 @@
     slice: object
 
 
+@dataclass(slots=True)
+class Withdraw:
+    """Shuts a server out of all tables that the proxies hold, or opens it again; tables stay as they are."""
+    server: object
+    out: bool
+
+
 @dataclass(slots=True)
 class Bind:
     proxy: object
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -5,25 +5,22 @@
 back takes effect at `now`. Events, orders and settings are in `interface.py`; times are milliseconds.
 `docs/design.md` says what follows the design page, what departs from it, and when.
 """
-from collections import deque
 from hashlib import blake2b
 from math import log, log2
-from types import SimpleNamespace
 
 from . import interface as core
+from .state import Chance, Proxy, Push, Server, Slice, Tally, middle_of
 
-SLOWEST, EASY = 8.0, 0.4  # times slower the channel may be; of its room, for lines that can wait
-TICK = 250.0          # how often the plan is looked at without news
-PUSH_GAP = 1000.0     # the design's one gathered push a second
-PROBE_EVERY = 500.0
+SLOWEST, EASY = 8.0, 0.8  # times slower the channel may be; of its room, for lines that can wait
+TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
 DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
-ILL_REST, ILL_MOST = 2500.0, 20000.0  # twice the first an ill server rests at first, and at most the other
-HALF_LIFE = 2500.0    # tallies are halved this often
-SPARE = 0.02          # weight of a slice's spare line, against 1
+ILL_REST, ILL_MOST = 5000.0, 20000.0  # so long an ill server rests at first, and at most
+HALF_LIFE, BINS = 2500.0, 24  # tallies are halved this often; three bins to a doubling, from 8 ms on
+SPARE, LEAST = 0.02, 1e-6  # weight of a slice's spare line, against its owner's; what is too small to divide
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.2  # the last a step, once hardly any try fails
 COLD_PART, WARY = 0.5, 12000.0  # of the multiple that fells a cold server, in usual parts; less after a start
@@ -36,65 +33,10 @@
 CLOSED, ILL, COLD, WARM = range(4)
 
 
-class Tally:
-    """A histogram of a few coarse bins that forgets by halving."""
-
-    def __init__(self, bins):
-        self.bins = [0.0] * bins
-
-    def add(self, at, count):
-        self.bins[max(0, min(len(self.bins) - 1, int(at)))] += count
-
-    def halve(self):
-        self.bins = [b / 2 if b > 0.1 else 0.0 for b in self.bins]
-
-    def middle(self):
-        left = sum(self.bins) / 2
-        for at, count in enumerate(self.bins):
-            if count >= left and count:
-                return at + left / count
-            left -= count
-        return None
-
-
-def middle_of(values, default):
-    return sorted(values)[len(values) // 2] if values else default
-
-
-class Server:
-    def __init__(self, ident):
-        self.id = ident
-        self.state, self.started = None, None      # state None: in a line of the store, in no list yet
-        self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, CLOSED, 1.0, 0
-        self.latency, self.outcomes, self.held = Tally(24), Tally(2), Tally(24)
-        self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
-        self.ill_till, self.rest = None, ILL_REST
-        self.load = self.capacity = self.sure = 0.0
-        self.probed_at = self.got_at = self.gave_at = -1e9
-
-
-class Slice:
-    def __init__(self, ident, classes):
-        self.id = ident
-        self.held, self.zone = False, None         # zone: a bound table for classes kept in their zone
-        self.present, self.wanted = {}, {}
-        self.heat = Tally(classes)
-        self.demand, self.moved_at, self.push, self.freed_at = None, -1e9, None, None
-
-    def owner(self):
-        return max(self.wanted, key=self.wanted.get) if self.wanted else None
-
-
-class Proxy:
-    def __init__(self, ident):
-        self.id = ident
-        self.joined, self.rate, self.zone, self.answered, self.bound = False, 1.0, 0, 0, False
-
-
 class Controller:
     def __init__(self, settings, seed):
         s = settings
-        self.chance = seed % (1 << 64)
+        self.chance = Chance(seed)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner = s.slices > 0, s.one_owner
@@ -114,8 +56,8 @@
         self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
         self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
         self.servers, self.slices, self.proxies = [], [], []
-        self.pushes, self.serial, self.next_push = deque(), 0, -1e9
-        self.good_at = self.now = self.looked_at = self.halved_at = self.reported_at = -1e9
+        self.pushes, self.serial, self.settled_push = [], 0, 0
+        self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = -1e9
         self.listed, self.booted_at, self.urgent = False, None, True
         self.fleet, self.strained, self.busy = 0.0, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
@@ -125,7 +67,7 @@
                 table.held, table.zone = True, number - 1 if number else None
 
     def server(self, ident):
-        self.servers.append(Server(ident))
+        self.servers.append(Server(ident, BINS))
         return self.servers[-1]
 
     def slice(self, ident):
@@ -136,24 +78,23 @@
         self.proxies.append(Proxy(ident))
         return self.proxies[-1]
 
-    def draw(self):
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return (self.chance >> 33) / (1 << 31)
-
     def turn(self, now, events):
         self.now = now
-        tick = self.booted_at is None or any(type(event) is core.Reminder for event in events)
+        rung = [event.tag for event in events if type(event) is core.Reminder]
+        orders = [core.Timer(0, TICK)] if self.booted_at is None or 0 in rung else []
         self.booted_at = now if self.booted_at is None else self.booted_at
-        orders = [core.Timer(0, TICK)] if tick else []
         for event in events:
             if take := self.TAKES.get(type(event)):
                 take(self, event)
-        if self.urgent or now >= self.looked_at + TICK - 1:
-            self.urgent, self.looked_at = False, now
+        if self.urgent or orders or rung:
+            self.urgent = False
+            self.settle()
             self.judge()
             self.shed()
             self.plan()
-            orders += self.emit() + self.ask_around()
+            pushed = self.emit()
+            # The next push is not left to the tick: a drain's grace is a few pushes long.
+            orders += pushed + ([core.Timer(1, self.gap)] if pushed else []) + self.ask_around()
         return orders
 
     def members(self, event):
@@ -163,8 +104,7 @@
         self.listed = self.listed or event.scope != "stale"
         named = [e.server for e in event.entries]
         for server in self.servers if event.scope != "changes" else ():
-            if server.state and server not in named:
-                server.state = "gone"
+            server.state = server.state and (server.state if server in named else "gone")
         for e in event.entries:
             server = e.server
             started = e.started if e.started is not None else -1e12
@@ -178,14 +118,17 @@
 
     def restart(self, server):
         # A server that starts again has an empty past: what was heard before says nothing of it.
-        server.latency, server.outcomes = Tally(24), Tally(2)
-        server.ill_till, server.rest, server.returning = None, ILL_REST, True
+        server.latency, server.outcomes = Tally(BINS), Tally(2)
+        server.ill_till, server.rest, server.returning = None, 0.0, True
         server.streak = server.mute = 0
 
     def joined(self, event):
         p = event.proxy
         p.joined, p.rate, p.zone, p.answered, p.bound = True, event.rate, event.zone, 0, False
         self.urgent = self.urgent or not self.sliced
+        for server in self.servers:
+            # A proxy that was away missed what was shut and opened, and holds what it held before.
+            server.doubt = server.doubt or server.shut_once
 
     def parted(self, event):
         event.proxy.joined, event.proxy.answered = False, 0
@@ -199,6 +142,9 @@
 
     def stored(self, event):
         event.slice.present[event.server] = event.slice.wanted[event.server] = event.weight
+        # Spares in the store at the start were laid by one before us, who may have left servers shut.
+        for server in event.slice.present if self.serial == 0 and len(event.slice.present) > 1 else ():
+            server.doubt = True
         self.urgent = True
 
     def server_report(self, event):
@@ -226,10 +172,8 @@
         self.told(event)
         if event.outcome == "answered":
             server.streak = server.mute = 0
-        elif event.outcome in ("refused", "reset"):
-            server.streak += 1
-        elif event.outcome in ("overdue", "error"):
-            server.mute += 1
+        server.streak += event.outcome in ("refused", "reset")
+        server.mute += event.outcome in ("overdue", "error")
         self.urgent = self.urgent or event.outcome != "answered"
 
     def caught_up(self, event):
@@ -268,18 +212,16 @@
             # and where no report says that it works, the silence may be ours. In a jam it must last longer.
             silent = server.mute >= MUTE_PROBES * (2 if self.strained else 1)
             mute = silent and self.now - self.good_at < NEWS * self.report_period
-            if server.streak >= DEAD_PROBES or mute or failing and not self.strained:
-                suspects.append(server)
-        if 2 * sum(s.ill_till is not None or s in suspects for s in ready) <= len(ready):
-            # More than half ill at once is more likely our own cut, a stall or overload.
-            for server in suspects:
-                if server.ill_till is None:
-                    # Each time it falls ill again it rests twice as long, for it was let back too early.
-                    server.rest = min(2 * server.rest, ILL_MOST)
-                    server.ill_till, server.outcomes = self.now + server.rest, Tally(2)
-        for server in ready:
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
+            elif server.ill_till or server.streak >= DEAD_PROBES or mute or failing and not self.strained:
+                suspects.append(server)
+        # More than half ill at once is more likely our own cut, a stall or overload.
+        for server in suspects if 2 * len(suspects) <= len(ready) else ():
+            if server.ill_till is None:
+                # Each time it falls ill again it rests twice as long, for it was let back too early.
+                server.rest = min(max(2 * server.rest, ILL_REST), ILL_MOST)
+                server.ill_till, server.outcomes = self.now + server.rest, Tally(2)
         median = middle_of([m for s in ready if (m := s.latency.middle()) is not None], None)
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         listed = self.listed or self.now - self.booted_at > 3000.0
@@ -287,14 +229,16 @@
             at = server.latency.middle()
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             age = self.now - server.started if server.started is not None else 1e12
-            warmth = 1.0 if age >= self.cold else self.cold_from + (1 - self.cold_from) * age / self.cold
+            grown = age / max(self.cold, 1.0)
+            warmth = server.warmth = min(1.0, self.cold_from + (1 - self.cold_from) * grown)
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
             server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
             slow = max(server.heat, 2 ** ((at - self.sore) / 3) if at is not None else 0.0)
             server.sure = server.size * warmth / max(1.0, min(3.0, slow))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
-                            else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
+                            else ILL if server.ill_till is not None or server.out
+                            else COLD if warmth < 1 else WARM)
 
     def shed(self):
         # A full fleet works on what clients have given up: letting less in is the only way out of the jam.
@@ -317,13 +261,12 @@
             return
         self.weigh(mine)
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
-        for server in self.servers:
+        for server in [s for s in self.servers if s.grade == COLD]:
             # A cold server with slices from before its start is cut to what it can do, or it falls over.
             over = server.load - 1.25 * self.usual * server.sure
-            for piece in self.owned(mine, server) if server.grade == COLD else ():
-                if over > 0:
-                    lost.append(piece)
-                    over -= piece.demand
+            for piece in sorted(server.owned, key=lambda p: -p.demand):
+                lost += [piece] if over > 0 else []
+                over -= piece.demand
         for piece in sorted(lost, key=lambda p: -p.demand):
             owner = piece.owner()
             to = self.choose(piece, [s for s in self.servers if s is not owner])
@@ -341,11 +284,12 @@
         mean = sum(raw) / len(raw) if raw else 0.0
         self.heard = mean > 0
         for server in self.servers:
-            server.load = 0.0
+            server.load, server.owned = 0.0, []
         for piece, heat in zip(mine, raw):
             piece.demand = 0.1 + 0.9 * heat / mean if mean else 1.0
             if owner := piece.owner():
                 owner.load += piece.demand
+                owner.owned.append(piece)
         total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
@@ -360,9 +304,6 @@
             return server.load + demand <= self.usual * server.sure
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
-    def owned(self, mine, server):
-        return sorted((p for p in mine if p.owner() is server), key=lambda p: -p.demand)
-
     def score(self, piece, server):
         mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
         return -max(server.capacity, 1e-6) / log((int.from_bytes(mixed) + 1) / (1 << 56))
@@ -380,19 +321,29 @@
 
     def move(self, piece, to):
         old = piece.owner()
-        piece.wanted = {s: w for s, w in piece.wanted.items() if to and s not in (old, to) and w < 1}
+        # A spare that becomes the owner keeps its weight, for only weights against each other count: at size
+        # each line saved lets the channel cover slices again before the next loss.
+        weight = piece.wanted.get(to, 0.0) if piece.wanted.get(to, 0.0) > LEAST else 1.0
+        piece.wanted = {s: w for s, w in piece.wanted.items() if to and s not in (old, to) and w < weight}
         if to:
-            piece.wanted[to] = 1.0
+            piece.wanted[to] = weight
             to.load += piece.demand
+            to.owned.append(piece)
             to.got_at, piece.moved_at, piece.push = self.now, self.now, None
         if old:
             old.load -= piece.demand
+            old.owned.remove(piece)
 
     def settled(self, piece):
-        if piece.push is None:
-            return piece.wanted == piece.present
-        rates = [(p.rate, p.answered >= piece.push) for p in self.proxies if p.joined]
-        return sum(r for r, done in rates if done) >= SETTLED * sum(r for r, _ in rates)
+        return piece.wanted == piece.present if piece.push is None else piece.push <= self.settled_push
+
+    def settle(self):
+        # Once a look: the last push that most of the traffic's proxies have answered.
+        joined = sorted((p for p in self.proxies if p.joined), key=lambda p: -p.answered)
+        left, self.settled_push = SETTLED * sum(p.rate for p in joined), 0
+        for p in joined:
+            if left > 0:
+                left, self.settled_push = left - p.rate, p.answered
 
     def refill(self, mine):
         # One slice a push for each server that came back: the filler alone would take the rest of the day.
@@ -421,13 +372,13 @@
             cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
                       and (s.held.middle() or 0.0) <= usual_held
                       and self.now - max(s.gave_at, s.got_at) > FILL]
-            for piece in self.owned(mine, giver):
+            for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
                     fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
                     # Chance between the two best: other controllers see the same coolest server.
-                    self.move(piece, fit[int(min(2, len(fit)) * self.draw())])
+                    self.move(piece, fit[int(min(2, len(fit)) * self.chance.draw())])
                     giver.gave_at = self.now
                     break
 
@@ -443,7 +394,7 @@
         away = [s for s in good if s.zone != owner.zone] or good
         piece.wanted = {owner: piece.wanted[owner]}
         if away:
-            piece.wanted[max(away, key=lambda s: self.score(piece, s))] = SPARE
+            piece.wanted[max(away, key=lambda s: self.score(piece, s))] = SPARE * piece.wanted[owner]
 
     def spread(self, table):
         # Without slices: one table of all that may be used, by capacity in coarse steps; cold ones join late.
@@ -452,8 +403,7 @@
         table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
 
     def waiting(self):
-        while self.pushes and not self.pushes[0].waits:
-            self.pushes.popleft()
+        self.pushes = [push for push in self.pushes if push.waits]
         # Messages leave one after the other: an answer to a push says that all before it have left.
         left = max((p.answered for p in self.proxies), default=0)
         unanswered = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
@@ -473,15 +423,19 @@
         if joined and levels != self.levels and room > len(levels):
             orders += [level for level in levels if level not in self.levels]
             self.levels = levels
-        for piece in sorted((p for p in self.slices if p.held and p.wanted != p.present), key=self.pressing):
-            lines, left = self.difference(piece)
-            # Lines that can wait leave most of the channel free: the next second may bring a drain.
-            most = room if self.pressing(piece)[0] <= COLD else EASY * room
-            if lines and len(orders) + len(lines) <= most:
-                orders += lines
-                piece.present = left
-                piece.freed_at = self.now if not left else None
-                moved.append(piece)
+        changed = [p for p in self.slices if p.held and p.wanted != p.present]
+        bare = [p for p in changed if self.pressing(p)[0] <= ILL and not self.covered(p)]
+        for stage in (bare, changed):
+            orders += self.shutters(room - len(orders))
+            for piece in sorted(stage, key=self.pressing):
+                lines, left = self.difference(piece)
+                # Lines that can wait leave most of the channel free: the next second may bring a drain.
+                most = room if self.pressing(piece)[0] <= COLD else EASY * room
+                if lines and len(orders) + len(lines) <= most:
+                    orders += lines
+                    piece.present = left
+                    piece.freed_at = self.now if not left else None
+                    moved.append(piece)
         for p in () if self.sliced else joined:
             if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= room:
                 p.bound = True
@@ -496,7 +450,7 @@
         for piece in moved:
             piece.push = self.serial
         each = len(orders) + 1 + self.head + len(self.levels)
-        self.pushes.append(SimpleNamespace(serial=self.serial, each=each, waits=set(joined)))
+        self.pushes.append(Push(self.serial, each, set(joined)))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, silent)]
@@ -507,9 +461,34 @@
         rest = (self.all_classes & ~keen, 0 if self.strained else 1)
         return [core.Tries(mask, self.level, further) for mask, further in (rest, (keen, 2)) if mask]
 
+    def covered(self, piece):
+        return any(not s.out and (s.grade == WARM or s.grade == COLD and s is piece.owner())
+                   for s in piece.present)
+
+    def shutters(self, room):
+        # One line shuts a server out of all slices, where theirs would outlast a drain's grace at size. Only
+        # where each has another line that works: for the rule on empty tables, and for cold servers.
+        users, orders = {s: [] for s in self.servers if self.sliced and not self.one_owner}, []
+        for piece in self.slices if users else ():
+            for s in piece.present if piece.held else ():
+                users[s].append(piece)
+        for s in sorted(users, key=lambda s: s.grade):
+            shut, most = s.out, room
+            if s.grade == CLOSED or s.ill_till is not None:
+                shut = s.out or bool(users[s]) and all(self.covered(p) for p in users[s])
+            elif all(p.present[s] == p.wanted.get(s) for p in users[s]):
+                # Opened only once its lines are as they should be: a cold one must not get all of its past.
+                shut, most = s.out and s.warmth < 1 and s.load > self.usual * s.sure, EASY * room
+            if (shut != s.out or s.doubt) and len(orders) < most:
+                s.out, s.shut_once, s.doubt = shut, s.shut_once or shut, False
+                orders.append(core.Withdraw(s, shut))
+        return orders
+
     def pressing(self, piece):
-        gone = [s.grade for s in piece.present if s not in piece.wanted]
-        return min(gone, default=WARM + 1), -(piece.demand or 0.0)
+        gone = [s.grade for s in piece.present if s not in piece.wanted and not s.out]
+        kept = [piece.present.get(s) == w for s, w in piece.wanted.items()]
+        bare = all(s.out for s in piece.present)
+        return CLOSED - 1 if bare else min(gone, default=WARM + all(kept)), -(piece.demand or 0.0)
 
     def difference(self, piece):
         if self.one_owner and piece.present:
@@ -518,9 +497,16 @@
         if self.one_owner and piece.freed_at is not None and (
                 self.now - piece.freed_at < self.hold or piece.push and not self.settled(piece)):
             return [], {}
-        # Out of a closed server first: where many leave at once, new spare lines would hold up the drain.
-        hurry, owner = any(s.grade == CLOSED for s in piece.present), piece.owner()
-        out = {s: w for s, w in piece.wanted.items() if not hurry or s is owner or s in piece.present}
+        # While it leaves a server that must go, the new owner's line comes alone: one more line shuts the old
+        # server out for all its slices. Where that could not be, its line goes next, and new spares wait.
+        hurry, owner = any(s.grade <= ILL and not s.out for s in piece.present), piece.owner()
+        if hurry and owner and piece.present.get(owner) != piece.wanted[owner]:
+            out = {**piece.present, owner: piece.wanted[owner]}
+        else:
+            out = {s: w for s, w in piece.wanted.items() if not hurry or s is owner or s in piece.present}
+        # Lines of servers that are shut out do no harm: they leave once nothing else is to be changed.
+        if any(piece.present.get(s) != w for s, w in out.items()):
+            out |= {s: w for s, w in piece.present.items() if s.out and s not in out}
         lines = [core.Line(piece, s, w) for s, w in out.items() if piece.present.get(s) != w]
         return lines + [core.Line(piece, s, 0.0) for s in piece.present if s not in out], out
 
