The channel at size: exposed slices first, moves within a push, well servers open with their lines

Causes: moves of choice filled the channel ahead of spares, pushes of one line each spent a slow channel on heads, and servers that came back waited until all old lines were laid anew (32 of 63 in use for 5 s more). Now: a slice with one working line comes before moves, moves are planned only as far as one push has room, no push on a channel too full for its head, a tenth of the limit more for bare slices and shutters, the rest of a push leaves as fast as was answered, and a well server opens with what it can carry of its old lines.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -5,13 +5,12 @@
 back takes effect at `now`. Events, orders and settings are in `interface.py`; times are milliseconds.
 `docs/design.md` says what follows the design page, what departs from it, and when.
 """
-from hashlib import blake2b
 from math import log, log2
 
 from . import interface as core
-from .state import Chance, Proxy, Push, Server, Slice, Tally, middle_of
+from .state import Chance, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of
 
-SLOWEST, EASY = 8.0, 0.8  # times slower the channel may be; of its room, for lines that can wait
+SLOWEST, URGENT = 8.0, 0.2  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
 DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
@@ -40,7 +39,7 @@
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner = s.slices > 0, s.one_owner
-        self.hold = max(s.lease, s.lingers) + s.push_delay
+        self.hold, self.delay = max(s.lease, s.lingers) + s.push_delay, s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 3.0)
@@ -54,7 +53,7 @@
         self.repeatable = sum(1 << k for k, yes in enumerate(again) if yes)
         self.all_classes, self.level = (1 << len(s.classes)) - 1, 1e6 if s.levels == "rate" else 1.0
         self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
-        self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
+        self.tried, self.came, self.queued, self.queued_at, self.moves = Tally(2), 0.0, 0.0, 0.0, 9.0
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.settled_push = [], 0, 0
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = -1e9
@@ -67,16 +66,13 @@
                 table.held, table.zone = True, number - 1 if number else None
 
     def server(self, ident):
-        self.servers.append(Server(ident, BINS))
-        return self.servers[-1]
+        return added(self.servers, Server(ident, BINS))
 
     def slice(self, ident):
-        self.slices.append(Slice(ident, len(self.work)))
-        return self.slices[-1]
+        return added(self.slices, Slice(ident, len(self.work)))
 
     def proxy(self, ident):
-        self.proxies.append(Proxy(ident))
-        return self.proxies[-1]
+        return added(self.proxies, Proxy(ident))
 
     def turn(self, now, events):
         self.now = now
@@ -88,7 +84,6 @@
                 take(self, event)
         if self.urgent or orders or rung:
             self.urgent = False
-            self.settle()
             self.judge()
             self.shed()
             self.plan()
@@ -111,17 +106,11 @@
             if server.started is None or started > server.started + 1:
                 server.started = started
                 if self.now - started < self.cold:
-                    self.restart(server)
+                    server.forget()  # what was heard before its start says nothing of it
             server.state, server.zone = e.state, e.zone
             server.size = e.size if self.sized and e.size > 0 else 1.0
         self.urgent = True
 
-    def restart(self, server):
-        # A server that starts again has an empty past: what was heard before says nothing of it.
-        server.latency, server.outcomes = Tally(BINS), Tally(2)
-        server.ill_till, server.rest, server.returning = None, 0.0, True
-        server.streak = server.mute = 0
-
     def joined(self, event):
         p = event.proxy
         p.joined, p.rate, p.zone, p.answered, p.bound = True, event.rate, event.zone, 0, False
@@ -189,6 +178,7 @@
              core.Probed: probed, core.Answered: caught_up}
 
     def judge(self):
+        self.settled_push = answered_by(self.proxies, SETTLED)
         if self.now >= self.halved_at + HALF_LIFE:
             self.halved_at = self.now
             tallies = [t for s in self.servers for t in (s.latency, s.outcomes, s.held)]
@@ -237,8 +227,7 @@
             slow = max(server.heat, 2 ** ((at - self.sore) / 3) if at is not None else 0.0)
             server.sure = server.size * warmth / max(1.0, min(3.0, slow))
             server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
-                            else ILL if server.ill_till is not None or server.out
-                            else COLD if warmth < 1 else WARM)
+                            else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
     def shed(self):
         # A full fleet works on what clients have given up: letting less in is the only way out of the jam.
@@ -269,11 +258,15 @@
                 over -= piece.demand
         for piece in sorted(lost, key=lambda p: -p.demand):
             owner = piece.owner()
-            to = self.choose(piece, [s for s in self.servers if s is not owner])
+            to = self.choose(piece, [s for s in self.servers if s is not owner and not s.out])
             # From one ill server to another is no rescue, only churn.
             if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > ILL:
                 self.move(piece, to)
         if not self.one_owner:
+            # Moves of choice only as far as a push has room: planned beyond it, they would crowd out spares.
+            room = self.queue_half / max(1, sum(p.joined for p in self.proxies)) - self.head - 4
+            self.moves = room / 2 - sum(not p.laid() for p in mine)
+            self.take_back(mine)
             self.refill(mine)
             self.fill(mine)
             for piece in mine:
@@ -305,8 +298,7 @@
         return server.grade == WARM and server.load + demand <= part * self.fair * server.capacity
 
     def score(self, piece, server):
-        mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
-        return -max(server.capacity, 1e-6) / log((int.from_bytes(mixed) + 1) / (1 << 56))
+        return -max(server.capacity, 1e-6) / log(hashed(piece, server))
 
     def choose(self, piece, pool):
         spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
@@ -320,11 +312,12 @@
         return None
 
     def move(self, piece, to):
-        old = piece.owner()
-        # A spare that becomes the owner keeps its weight, for only weights against each other count: at size
-        # each line saved lets the channel cover slices again before the next loss.
-        weight = piece.wanted.get(to, 0.0) if piece.wanted.get(to, 0.0) > LEAST else 1.0
-        piece.wanted = {s: w for s, w in piece.wanted.items() if to and s not in (old, to) and w < weight}
+        self.moves -= 1
+        old, weight = piece.owner(), piece.wanted.get(to, piece.present.get(to, 0.0))
+        # A spare that takes over keeps its weight: each line saved covers another slice before the next loss.
+        weight = weight if weight > LEAST else 1.0
+        piece.wanted = {s: w for s, w in piece.wanted.items() if to and s is not to and w < weight
+                        and (s is not old or to.out and s.grade == WARM)}
         if to:
             piece.wanted[to] = weight
             to.load += piece.demand
@@ -337,21 +330,20 @@
     def settled(self, piece):
         return piece.wanted == piece.present if piece.push is None else piece.push <= self.settled_push
 
-    def settle(self):
-        # Once a look: the last push that most of the traffic's proxies have answered.
-        joined = sorted((p for p in self.proxies if p.joined), key=lambda p: -p.answered)
-        left, self.settled_push = SETTLED * sum(p.rate for p in joined), 0
-        for p in joined:
-            if left > 0:
-                left, self.settled_push = left - p.rate, p.answered
+    def take_back(self, mine):
+        # A shut server that is well again opens with what it can carry of its lines: all anew take too long.
+        for server in [s for s in self.servers if s.out and s.grade >= COLD]:
+            for piece in [p for p in mine if p.pull(server) > 0.9 and p.owner() is not server]:
+                if self.fits(server, piece.demand, FULL):
+                    self.move(piece, server)
 
     def refill(self, mine):
         # One slice a push for each server that came back: the filler alone would take the rest of the day.
-        for server in [s for s in self.servers if s.returning and s.grade >= COLD]:
+        for server in [s for s in self.servers if s.returning and s.grade >= COLD and not s.out]:
             server.returning = server.grade == COLD or self.part(server) < 0.8
             fits = [p for p in mine if (o := p.owner()) and o is not server and self.settled(p)
                     and self.fits(server, p.demand, 0.9) and self.part(o, -p.demand) >= 0.9]
-            if fits and self.now - server.got_at >= PUSH_GAP:
+            if fits and self.now - server.got_at >= PUSH_GAP and self.moves > 0:
                 self.move(max(fits, key=lambda p: (self.part(p.owner()), p.demand)), server)
 
     def fill(self, mine):
@@ -369,13 +361,13 @@
         usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > FILL]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
-            cooler = [s for s in self.servers if s.grade == WARM and s.heat < min(giver.heat, 1.1)
-                      and (s.held.middle() or 0.0) <= usual_held
+            cooler = [s for s in self.servers if s.grade == WARM and not s.out
+                      and s.heat < min(giver.heat, 1.1) and (s.held.middle() or 0.0) <= usual_held
                       and self.now - max(s.gave_at, s.got_at) > FILL]
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
-                if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece):
+                if fit and self.now - piece.moved_at > FILL_REST and self.settled(piece) and self.moves > 0:
                     fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
                     # Chance between the two best: other controllers see the same coolest server.
                     self.move(piece, fit[int(min(2, len(fit)) * self.chance.draw())])
@@ -389,7 +381,7 @@
         owner = piece.owner()
         if owner is None or [s.grade for s in piece.wanted if s is not owner] == [WARM]:
             return
-        good = [s for s in self.servers if s.grade == WARM and s is not owner]
+        good = [s for s in self.servers if s.grade == WARM and s is not owner and not s.out]
         # Whatever takes the owner may take its zone.
         away = [s for s in good if s.zone != owner.zone] or good
         piece.wanted = {owner: piece.wanted[owner]}
@@ -406,7 +398,7 @@
         self.pushes = [push for push in self.pushes if push.waits]
         # Messages leave one after the other: an answer to a push says that all before it have left.
         left = max((p.answered for p in self.proxies), default=0)
-        unanswered = sum(push.each * len(push.waits) for push in self.pushes if push.serial >= left)
+        unanswered = sum(push.left(self.now, self.delay) for push in self.pushes if push.serial >= left)
         # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
         self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace)
         self.queued_at = self.now
@@ -417,27 +409,29 @@
         if self.now < self.next_push:
             return []
         joined = [p for p in self.proxies if p.joined]
-        room = (self.queue_half - self.waiting()) / max(1, len(joined)) - self.head - 4
+        changed = [p for p in self.slices if p.held and p.wanted != p.present]
+        each, waiting = max(1, len(joined)), self.waiting()
+        easy = (self.queue_half - waiting) / each - self.head - 4
+        # Beyond half the limit only for the rules: a drain's grace is short, and slices must not be bare.
+        room = easy + URGENT * self.queue_half / each
+        if easy < min(self.head, 1 + len(changed)):
+            return []  # a full channel is not spent on the heads of messages that bring a line each
         orders, moved = [], []
-        levels = self.tries()
-        if joined and levels != self.levels and room > len(levels):
+        if joined and (levels := self.tries()) != self.levels and easy > len(levels):
             orders += [level for level in levels if level not in self.levels]
             self.levels = levels
-        changed = [p for p in self.slices if p.held and p.wanted != p.present]
         bare = [p for p in changed if self.pressing(p)[0] <= ILL and not self.covered(p)]
         for stage in (bare, changed):
-            orders += self.shutters(room - len(orders))
+            orders += self.shutters(room - len(orders), easy - len(orders))
             for piece in sorted(stage, key=self.pressing):
                 lines, left = self.difference(piece)
-                # Lines that can wait leave most of the channel free: the next second may bring a drain.
-                most = room if self.pressing(piece)[0] <= COLD else EASY * room
-                if lines and len(orders) + len(lines) <= most:
+                if lines and len(orders) + len(lines) <= (room if self.pressing(piece)[0] <= ILL else easy):
                     orders += lines
                     piece.present = left
                     piece.freed_at = self.now if not left else None
                     moved.append(piece)
         for p in () if self.sliced else joined:
-            if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= room:
+            if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= easy:
                 p.bound = True
                 own = self.slices[1 + p.zone:2 + p.zone] if self.own_zone else []
                 orders += [core.Bind(p, self.slices[0], 0)] + [core.Bind(p, t, self.own_zone) for t in own]
@@ -450,7 +444,7 @@
         for piece in moved:
             piece.push = self.serial
         each = len(orders) + 1 + self.head + len(self.levels)
-        self.pushes.append(Push(self.serial, each, set(joined)))
+        self.pushes.append(Push(self.serial, each, set(joined), self.now))
         self.queued += each * len(joined)
         self.next_push = self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, silent)]
@@ -465,30 +459,35 @@
         return any(not s.out and (s.grade == WARM or s.grade == COLD and s is piece.owner())
                    for s in piece.present)
 
-    def shutters(self, room):
-        # One line shuts a server out of all slices, where theirs would outlast a drain's grace at size. Only
-        # where each has another line that works: for the rule on empty tables, and for cold servers.
+    def shutters(self, room, easy):
+        # One line shuts a server out of all slices: theirs, times the proxies, outlast a drain's grace. Only
+        # where each has another line that works, for the rules on empty tables and cold servers.
         users, orders = {s: [] for s in self.servers if self.sliced and not self.one_owner}, []
         for piece in self.slices if users else ():
             for s in piece.present if piece.held else ():
                 users[s].append(piece)
         for s in sorted(users, key=lambda s: s.grade):
-            shut, most = s.out, room
-            if s.grade == CLOSED or s.ill_till is not None:
+            if s.grade <= ILL:
                 shut = s.out or bool(users[s]) and all(self.covered(p) for p in users[s])
-            elif all(p.present[s] == p.wanted.get(s) for p in users[s]):
-                # Opened only once its lines are as they should be: a cold one must not get all of its past.
-                shut, most = s.out and s.warmth < 1 and s.load > self.usual * s.sure, EASY * room
-            if (shut != s.out or s.doubt) and len(orders) < most:
+            else:
+                # A cold one must not get all of its past at once.
+                shut = s.out and not all(p.owner() is s or p.pull(s) < 0.1 for p in users[s])
+            if (shut != s.out or s.doubt) and len(orders) < (room if s.grade <= ILL else easy):
                 s.out, s.shut_once, s.doubt = shut, s.shut_once or shut, False
                 orders.append(core.Withdraw(s, shut))
         return orders
 
     def pressing(self, piece):
-        gone = [s.grade for s in piece.present if s not in piece.wanted and not s.out]
-        kept = [piece.present.get(s) == w for s, w in piece.wanted.items()]
-        bare = all(s.out for s in piece.present)
-        return CLOSED - 1 if bare else min(gone, default=WARM + all(kept)), -(piece.demand or 0.0)
+        open_to = {s: w for s, w in piece.present.items() if not s.out}
+        gone = [s.grade for s, w in open_to.items() if s not in piece.wanted
+                and (s.grade <= ILL or s.grade == COLD and w == max(open_to.values()))]
+        # A slice with one line that works comes before moves: whatever takes that server leaves it bare.
+        rank = CLOSED - 1 if not open_to else min(gone, default=WARM)
+        if rank == WARM and any(s.out and s.grade >= COLD and s not in piece.wanted for s in piece.present):
+            rank = COLD
+        elif rank == WARM and sum(s.grade >= COLD for s in open_to) > 1:
+            rank += 2 if piece.laid() else 1
+        return rank, -(piece.demand or 0.0)
 
     def difference(self, piece):
         if self.one_owner and piece.present:
@@ -497,29 +496,29 @@
         if self.one_owner and piece.freed_at is not None and (
                 self.now - piece.freed_at < self.hold or piece.push and not self.settled(piece)):
             return [], {}
-        # While it leaves a server that must go, the new owner's line comes alone: one more line shuts the old
-        # server out for all its slices. Where that could not be, its line goes next, and new spares wait.
+        # Out of a server that must go, the new owner's line comes alone: one more shuts that server for all
+        # slices. Where that could not be, its own line goes next, and new spares wait.
         hurry, owner = any(s.grade <= ILL and not s.out for s in piece.present), piece.owner()
         if hurry and owner and piece.present.get(owner) != piece.wanted[owner]:
             out = {**piece.present, owner: piece.wanted[owner]}
         else:
             out = {s: w for s, w in piece.wanted.items() if not hurry or s is owner or s in piece.present}
-        # Lines of servers that are shut out do no harm: they leave once nothing else is to be changed.
-        if any(piece.present.get(s) != w for s, w in out.items()):
-            out |= {s: w for s, w in piece.present.items() if s.out and s not in out}
+        # Lines that are shut out or weigh little do no harm: they leave once nothing else is to be changed.
+        if not piece.laid():
+            light = SPARE * piece.wanted.get(owner, 0.0)
+            out |= {s: w for s, w in piece.present.items() if s not in out
+                    and (s.grade <= ILL if s.out else not hurry and w <= light)}
         lines = [core.Line(piece, s, w) for s, w in out.items() if piece.present.get(s) != w]
         return lines + [core.Line(piece, s, 0.0) for s in piece.present if s not in out], out
 
     def ask_around(self):
-        orders = []
-        if self.now >= self.ask_at:
-            self.ask_at = 1e18
-            orders.append(core.Follow())
+        orders = [core.Follow()] if self.now >= self.ask_at else []
+        self.ask_at = 1e18 if orders else self.ask_at
         for server in self.servers if self.probes else ():
             # One that failed is asked again at once; an answer that never came is not waited for forever.
             soon = TICK if server.streak + server.mute else PROBE_EVERY
-            every = 4 * PROBE_EVERY if server.probing else soon
-            if server.state == "ready" and self.now - server.probed_at > every - 1:
+            if server.state == "ready" and self.now - server.probed_at > (
+                    4 * PROBE_EVERY if server.probing else soon) - 1:
                 server.probed_at, server.probing = self.now, True
                 orders.append(core.Probe(server))
         return orders
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -1,4 +1,5 @@
-"""What a controller keeps of servers, slices and proxies, and how it counts. No rule and no tuned value here."""
+"""What a controller keeps of servers, slices and proxies, and how it counts: no rule and no tuned value."""
+from hashlib import blake2b
 
 
 class Tally:
@@ -37,9 +38,27 @@
         return (self.now >> 33) / (1 << 31)
 
 
+def hashed(piece, server):
+    """The same draw between 0 and 1 at every controller, for rendezvous hashing."""
+    mixed = blake2b(f"{piece.id}/{server.id}".encode(), digest_size=7).digest()
+    return (int.from_bytes(mixed) + 1) / (1 << 56)
+
+
+def added(kind, made):
+    kind.append(made)
+    return made
+
+
 class Push:
-    def __init__(self, serial, each, waits):
-        self.serial, self.each, self.waits = serial, each, waits  # lines a proxy; proxies that have not answered
+    def __init__(self, serial, each, waits, at):
+        self.serial, self.each, self.at = serial, each, at  # each: lines a proxy, with heads
+        self.waits, self.count = waits, len(waits)          # proxies that have not answered
+
+    def left(self, now, delay):
+        """Lines that have not left yet, if more leaves as fast as was answered; at most twice that."""
+        since = now - self.at
+        sent = (self.count - len(self.waits)) * since / max(since - delay, since / 2, 1e-9)
+        return self.each * max(0.0, self.count - sent)
 
 
 class Server:
@@ -55,6 +74,11 @@
         self.load = self.capacity = self.sure = self.warmth = 0.0
         self.probed_at = self.got_at = self.gave_at = -1e9
 
+    def forget(self):
+        self.latency, self.outcomes = Tally(len(self.latency.bins)), Tally(2)
+        self.ill_till, self.rest, self.returning = None, 0.0, True
+        self.streak = self.mute = 0
+
 
 class Slice:
     def __init__(self, ident, classes):
@@ -67,8 +91,26 @@
     def owner(self):
         return max(self.wanted, key=self.wanted.get) if self.wanted else None
 
+    def laid(self):
+        return all(self.present.get(s) == w for s, w in self.wanted.items())
+
+    def pull(self, server):
+        """The part of the slice that a server which is shut out would get if it were opened."""
+        there = self.present.get(server, 0.0)
+        return there and there / (there + sum(w for s, w in self.present.items() if not s.out))
+
 
 class Proxy:
     def __init__(self, ident):
         self.id = ident
         self.joined, self.rate, self.zone, self.answered, self.bound = False, 1.0, 0, 0, False
+
+
+def answered_by(proxies, share):
+    """The last push that proxies with this share of the traffic have answered."""
+    joined = sorted((p for p in proxies if p.joined), key=lambda p: -p.answered)
+    left, push = share * sum(p.rate for p in joined), 0
+    for p in joined:
+        if left > 0:
+            left, push = left - p.rate, p.answered
+    return push
