Full servers' silence counts late; drains need not wait for the second; levels rise sooner

Now: what a drain's grace or an empty table cannot leave goes half a second after the last push (not under a message cap); shut servers are told again to proxies that join only after what is new; silence of a server heard as slow counts five times as late, unless it holds no more than the middle one (then it is far, not full); a jammed server gives a slice a push while few tries of all fail; levels rise by half once under 6% of tries fail. Guards as well against stalls of servers and slow links; could harm where a slow server hangs.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -8,11 +8,11 @@
 from math import log, log2
 
 from . import interface as core
-from .state import Chance, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of
+from .state import Chance, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, users_of
 
 SLOWEST, URGENT = 8.0, 0.2  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
-DEAD_PROBES, MUTE_PROBES = 2, 3  # in a row: connects refused or broken; no answer
+DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS = 1.6            # report periods since the last good report, for silence to mean something
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
@@ -21,12 +21,11 @@
 HALF_LIFE, BINS = 2500.0, 24  # tallies are halved this often; three bins to a doubling, from 8 ms on
 SPARE, LEAST = 0.02, 1e-6  # weight of a slice's spare line, against its owner's; what is too small to divide
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
-LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.2  # the last a step, once hardly any try fails
+LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.5  # the last a step, once hardly any try fails
 COLD_PART, WARY = 0.5, 12000.0  # of the multiple that fells a cold server, in usual parts; less after a start
-FULL = 1.25           # of its fair part: what a server takes as a receiver or of orphans
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
-CROWDED, GAP = 1.5, 1.35  # what makes a giver: of its fair part of the demand; latency against the median
+FULL, CROWDED, GAP = 1.25, 1.5, 1.35  # of its fair part: a receiver's; a giver's; latency against the median
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
@@ -42,6 +41,7 @@
         self.hold, self.delay = max(s.lease, s.lingers) + s.push_delay, s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
+        self.early = self.gap if s.message_cap else self.gap / 2
         self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 3.0)
         self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
@@ -56,7 +56,7 @@
         self.tried, self.came, self.queued, self.queued_at, self.moves = Tally(2), 0.0, 0.0, 0.0, 9.0
         self.servers, self.slices, self.proxies = [], [], []
         self.pushes, self.serial, self.settled_push = [], 0, 0
-        self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = -1e9
+        self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent = False, None, True
         self.fleet, self.strained, self.busy = 0.0, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
@@ -86,7 +86,7 @@
             self.urgent = False
             self.judge()
             self.shed()
-            self.plan()
+            (self.plan if self.sliced else self.spread)()
             pushed = self.emit()
             # The next push is not left to the tick: a drain's grace is a few pushes long.
             orders += pushed + ([core.Timer(1, self.gap)] if pushed else []) + self.ask_around()
@@ -181,12 +181,12 @@
         self.settled_push = answered_by(self.proxies, SETTLED)
         if self.now >= self.halved_at + HALF_LIFE:
             self.halved_at = self.now
-            tallies = [t for s in self.servers for t in (s.latency, s.outcomes, s.held)]
-            for tally in tallies + [p.heat for p in self.slices]:
-                tally.halve()
+            for kept in self.servers + self.slices:
+                kept.halve()
             self.fleet *= 0.98
         ready = [s for s in self.servers if s.state == "ready"]
         suspects = []
+        self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
         # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
         # slices would drown the next one. The same holds for standing proxies and for our own cut.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
@@ -196,15 +196,17 @@
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next.
-            failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad) and (
-                server.latency.middle() or 0.0) < self.sore
-            # Unanswered probes count only while good news of others flows: a full server answers them late,
-            # and where no report says that it works, the silence may be ours. In a jam it must last longer.
-            silent = server.mute >= MUTE_PROBES * (2 if self.strained else 1)
+            server.failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad)
+            slow, held = (server.latency.middle() or 0.0) >= self.sore, server.held.middle()
+            # Unanswered probes count only while good news of others flows: the silence may be ours. Full ones
+            # answer late; so do far ones, but those hold no more than others.
+            full = self.strained or slow and (held is None or held > self.usual_held + 2)
+            silent = server.mute >= MUTE_PROBES * (JAM if full else 1)
             mute = silent and self.now - self.good_at < NEWS * self.report_period
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
-            elif server.ill_till or server.streak >= DEAD_PROBES or mute or failing and not self.strained:
+            elif server.ill_till or server.streak >= DEAD_PROBES or mute or (
+                    server.failing and not slow and not self.strained):
                 suspects.append(server)
         # More than half ill at once is more likely our own cut, a stall or overload.
         for server in suspects if 2 * len(suspects) <= len(ready) else ():
@@ -239,15 +241,11 @@
         if bad > BUSY * (good + bad) and self.strained:
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
-        elif bad < CALM * (good + bad):
+        elif bad < BUSY * (good + bad):
             self.level = min(1.0, LEVEL_UP * self.level)
 
     def plan(self):
         mine = [p for p in self.slices if p.held]
-        if not self.sliced:
-            for table in mine:
-                self.spread(table)
-            return
         self.weigh(mine)
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
         for server in [s for s in self.servers if s.grade == COLD]:
@@ -358,11 +356,12 @@
         if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
             return
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
-        usual_held = middle_of([s.held.middle() or 0.0 for s in self.servers if s.grade == WARM], 0.0)
-        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > FILL]
+        # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
+        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > (
+            PUSH_GAP - 1 if s.failing and not self.busy else FILL)]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and not s.out
-                      and s.heat < min(giver.heat, 1.1) and (s.held.middle() or 0.0) <= usual_held
+                      and s.heat < min(giver.heat, 1.1) and (s.held.middle() or 0.0) <= self.usual_held
                       and self.now - max(s.gave_at, s.got_at) > FILL]
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
@@ -388,11 +387,12 @@
         if away:
             piece.wanted[max(away, key=lambda s: self.score(piece, s))] = SPARE * piece.wanted[owner]
 
-    def spread(self, table):
+    def spread(self):
         # Without slices: one table of all that may be used, by capacity in coarse steps; cold ones join late.
-        zoned = [s for s in self.servers if s.grade > CLOSED and table.zone in (None, s.zone)]
-        use = [s for s in zoned if s.grade == WARM or s.grade == COLD and s.sure > 0.3 * s.size] or zoned
-        table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
+        for table in self.slices:
+            zoned = [s for s in self.servers if s.grade > CLOSED and table.zone in (None, s.zone)]
+            use = [s for s in zoned if s.grade == WARM or s.grade == COLD and s.sure > 0.3 * s.size] or zoned
+            table.wanted = {s: max(1, round(8 * s.capacity / s.size)) / 8 * s.size for s in use}
 
     def waiting(self):
         self.pushes = [push for push in self.pushes if push.waits]
@@ -400,36 +400,39 @@
         left = max((p.answered for p in self.proxies), default=0)
         unanswered = sum(push.left(self.now, self.delay) for push in self.pushes if push.serial >= left)
         # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
-        self.queued = max(0.0, self.queued - (self.now - self.queued_at) * self.pace)
-        self.queued_at = self.now
+        gone = (self.now - self.queued_at) * self.pace
+        self.queued, self.queued_at = max(0.0, self.queued - gone), self.now
         return min(unanswered, self.queued)
 
     def emit(self):
         """The one place where the difference between wanted and present becomes orders."""
-        if self.now < self.next_push:
+        if self.now < self.soon:
             return []
         joined = [p for p in self.proxies if p.joined]
-        changed = [p for p in self.slices if p.held and p.wanted != p.present]
+        # Early goes only what a drain's grace or the rule on empty tables cannot leave to the second's push.
+        early = self.now < self.next_push
+        changed = [p for p in self.slices if p.held and p.wanted != p.present
+                   and (not early or self.pressing(p)[0] <= CLOSED)]
         each, waiting = max(1, len(joined)), self.waiting()
         easy = (self.queue_half - waiting) / each - self.head - 4
         # Beyond half the limit only for the rules: a drain's grace is short, and slices must not be bare.
         room = easy + URGENT * self.queue_half / each
-        if easy < min(self.head, 1 + len(changed)):
+        if easy < min(self.head, 1 + len(changed)) or early and not changed:
             return []  # a full channel is not spent on the heads of messages that bring a line each
-        orders, moved = [], []
+        orders = []
         if joined and (levels := self.tries()) != self.levels and easy > len(levels):
             orders += [level for level in levels if level not in self.levels]
             self.levels = levels
         bare = [p for p in changed if self.pressing(p)[0] <= ILL and not self.covered(p)]
         for stage in (bare, changed):
-            orders += self.shutters(room - len(orders), easy - len(orders))
+            orders += self.shutters(room - len(orders), easy - len(orders), stage is changed)
             for piece in sorted(stage, key=self.pressing):
                 lines, left = self.difference(piece)
                 if lines and len(orders) + len(lines) <= (room if self.pressing(piece)[0] <= ILL else easy):
                     orders += lines
                     piece.present = left
                     piece.freed_at = self.now if not left else None
-                    moved.append(piece)
+                    piece.push = self.serial + 1
         for p in () if self.sliced else joined:
             if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= easy:
                 p.bound = True
@@ -441,12 +444,10 @@
         if not orders and not silent:
             return []
         self.serial += 1
-        for piece in moved:
-            piece.push = self.serial
         each = len(orders) + 1 + self.head + len(self.levels)
         self.pushes.append(Push(self.serial, each, set(joined), self.now))
         self.queued += each * len(joined)
-        self.next_push = self.now + self.gap
+        self.soon, self.next_push = self.now + self.early, self.next_push if early else self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, silent)]
 
     def tries(self):
@@ -459,20 +460,19 @@
         return any(not s.out and (s.grade == WARM or s.grade == COLD and s is piece.owner())
                    for s in piece.present)
 
-    def shutters(self, room, easy):
+    def shutters(self, room, easy, again):
         # One line shuts a server out of all slices: theirs, times the proxies, outlast a drain's grace. Only
         # where each has another line that works, for the rules on empty tables and cold servers.
-        users, orders = {s: [] for s in self.servers if self.sliced and not self.one_owner}, []
-        for piece in self.slices if users else ():
-            for s in piece.present if piece.held else ():
-                users[s].append(piece)
-        for s in sorted(users, key=lambda s: s.grade):
+        users, orders = users_of(self.slices), []
+        for s in sorted(self.servers if self.sliced and not self.one_owner else (), key=lambda s: s.grade):
             if s.grade <= ILL:
                 shut = s.out or bool(users[s]) and all(self.covered(p) for p in users[s])
             else:
                 # A cold one must not get all of its past at once.
                 shut = s.out and not all(p.owner() is s or p.pull(s) < 0.1 for p in users[s])
-            if (shut != s.out or s.doubt) and len(orders) < (room if s.grade <= ILL else easy):
+            # Told again only after what is new, and where a table names it: many may have joined at once.
+            tell = shut != s.out or again and s.doubt and users[s]
+            if tell and len(orders) < (room if s.grade <= ILL else easy):
                 s.out, s.shut_once, s.doubt = shut, s.shut_once or shut, False
                 orders.append(core.Withdraw(s, shut))
         return orders
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -1,4 +1,5 @@
 """What a controller keeps of servers, slices and proxies, and how it counts: no rule and no tuned value."""
+from collections import defaultdict
 from hashlib import blake2b
 
 
@@ -67,13 +68,17 @@
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, 0, 1.0, 0
         self.latency, self.outcomes, self.held = Tally(bins), Tally(2), Tally(bins)
-        self.streak, self.mute, self.probing, self.returning = 0, 0, False, False
+        self.streak, self.mute, self.probing, self.returning, self.failing = 0, 0, False, False, False
         # Shut out at the proxies; ever so; whether some proxies may not know which holds now.
         self.out, self.shut_once, self.doubt, self.owned = False, False, False, []
         self.ill_till, self.rest = None, 0.0
         self.load = self.capacity = self.sure = self.warmth = 0.0
         self.probed_at = self.got_at = self.gave_at = -1e9
 
+    def halve(self):
+        for tally in (self.latency, self.outcomes, self.held):
+            tally.halve()
+
     def forget(self):
         self.latency, self.outcomes = Tally(len(self.latency.bins)), Tally(2)
         self.ill_till, self.rest, self.returning = None, 0.0, True
@@ -88,6 +93,9 @@
         self.heat = Tally(classes)
         self.demand, self.moved_at, self.push, self.freed_at = None, -1e9, None, None
 
+    def halve(self):
+        self.heat.halve()
+
     def owner(self):
         return max(self.wanted, key=self.wanted.get) if self.wanted else None
 
@@ -114,3 +122,12 @@
         if left > 0:
             left, push = left - p.rate, p.answered
     return push
+
+
+def users_of(slices):
+    """The held slices whose lines name a server, by server."""
+    users = defaultdict(list)
+    for piece in slices:
+        for server in piece.present if piece.held else ():
+            users[server].append(piece)
+    return users
