Silence of probes counts only once no operation was answered there for 1.6 report periods

Symptom: on slow links and one-sided trouble, servers that other zones' proxies used well were emptied, and the slices' cold caches drowned the rest. Cause: probes go the controller's own way only. What a probe says must now agree with how operations fare.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -145,7 +145,7 @@
             tally.add(0, event.tries - event.bad)
             tally.add(1, event.bad)
         if event.tries > event.bad:
-            server.mute, self.good_at = 0, self.now
+            server.mute, server.good_at, self.good_at = 0, self.now, self.now
 
     def told(self, event):
         if "held" in event.load:
@@ -202,7 +202,7 @@
             # answer late; so do far ones, but those hold no more than others.
             full = self.strained or slow and (held is None or held > self.usual_held + 2)
             silent = server.mute >= MUTE_PROBES * (JAM if full else 1)
-            mute = silent and self.now - self.good_at < NEWS * self.report_period
+            mute = silent and self.now - self.good_at < NEWS * self.report_period < self.now - server.good_at
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
             elif server.ill_till or server.streak >= DEAD_PROBES or mute or (
