Silence needs missed answers; a giver is 1.6 times the median; who gives back keeps its part

Cause: at size a server is asked a few times a second by one controller, so a second without a good report is chance; and moves leave warm caches: the textbook policy that moves only what lost its server beats those that rebalance. Now a server counts as silent only after two answers that it should have given, the gap that makes a giver grows from 1.35 to 1.6, and who gives to a returned server keeps 1.05 of its part.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -13,7 +13,7 @@
 SLOWEST, URGENT = 8.0, 0.2  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
-NEWS = 1.6            # report periods since the last good report, for silence to mean something
+NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
@@ -25,7 +25,7 @@
 COLD_PART, WARY = 0.5, 12000.0  # of the multiple that fells a cold server, in usual parts; less after a start
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
-FULL, CROWDED, GAP = 1.25, 1.5, 1.35  # of its fair part: a receiver's; a giver's; latency against the median
+FULL, CROWDED, GAP = 1.25, 1.5, 1.6  # of its fair part: a receiver's; a giver's; latency against the median
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
@@ -184,8 +184,7 @@
             for kept in self.servers + self.slices:
                 kept.halve()
             self.fleet *= 0.98
-        ready = [s for s in self.servers if s.state == "ready"]
-        suspects = []
+        ready, suspects = [s for s in self.servers if s.state == "ready"], []
         self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
         # Where the middle server fails too, the whole fleet is full: no server is emptied for that, for its
         # slices would drown the next one. The same holds for standing proxies and for our own cut.
@@ -200,7 +199,8 @@
             slow, held = (server.latency.middle() or 0.0) >= self.sore, server.held.middle()
             # Unanswered probes count only while good news of others flows: the silence may be ours. Full ones
             # answer late; so do far ones, but those hold no more than others.
-            full = self.strained or slow and (held is None or held > self.usual_held + 2)
+            missed = server.outcomes.bins[0] * (self.now - server.good_at) / (1.5 * HALF_LIFE)
+            full = self.strained or missed < MISSED or slow and (held is None or held > self.usual_held + 2)
             silent = server.mute >= MUTE_PROBES * (JAM if full else 1)
             mute = silent and self.now - self.good_at < NEWS * self.report_period < self.now - server.good_at
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
@@ -340,7 +340,7 @@
         for server in [s for s in self.servers if s.returning and s.grade >= COLD and not s.out]:
             server.returning = server.grade == COLD or self.part(server) < 0.8
             fits = [p for p in mine if (o := p.owner()) and o is not server and self.settled(p)
-                    and self.fits(server, p.demand, 0.9) and self.part(o, -p.demand) >= 0.9]
+                    and self.fits(server, p.demand, 0.9) and self.part(o, -p.demand) >= 1.05]
             if fits and self.now - server.got_at >= PUSH_GAP and self.moves > 0:
                 self.move(max(fits, key=lambda p: (self.part(p.owner()), p.demand)), server)
 
