--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -22,7 +22,7 @@
 SPARE, LEAST = 0.02, 1e-6  # weight of a slice's spare line, against its owner's; what is too small to divide
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.5  # the last a step, once hardly any try fails
-COLD_PART, WARY = 0.5, 12000.0  # of the multiple that fells a cold server, in usual parts; less after a start
+COLD_PART, WARY = (0.75, 0.4), 12000.0  # of what fells a cold server, in usual parts: calm; strained or new
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 FULL, CROWDED, GAP = 1.25, 1.5, 1.6  # of its fair part: a receiver's; a giver's; latency against the median
@@ -42,7 +42,7 @@
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
         self.early = self.gap if s.message_cap else self.gap / 2
-        self.cold, self.cold_from, self.cold_most = s.cold, s.cold_from, COLD_PART * min(s.overload, 3.0)
+        self.cold, self.cold_from, self.overload = s.cold, s.cold_from, min(s.overload, 3.0)
         self.probes, self.sized, self.report_period = s.probes, s.sized, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
         self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
@@ -263,7 +263,7 @@
         if not self.one_owner:
             # Moves of choice only as far as a push has room: planned beyond it, they would crowd out spares.
             room = self.queue_half / max(1, sum(p.joined for p in self.proxies)) - self.head - 4
-            self.moves = room / 2 - sum(not p.laid() for p in mine)
+            self.moves = max(room / 8, room / 2 - sum(not p.laid() for p in mine))
             self.take_back(mine)
             self.refill(mine)
             self.fill(mine)
@@ -287,8 +287,8 @@
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
         # After a start neither demand nor strain is known, and the levels of before are gone.
-        wary = 0.55 if self.strained or self.now - self.booted_at < WARY else 1.0
-        self.usual = wary * self.cold_most * total / max(self.fleet, 1e-6)
+        wary = self.strained or self.now - self.booted_at < WARY
+        self.usual = COLD_PART[wary] * self.overload * total / max(self.fleet, 1e-6)
 
     def fits(self, server, demand, part):
         if server.grade == COLD:
@@ -486,7 +486,7 @@
         if rank == WARM and any(s.out and s.grade >= COLD and s not in piece.wanted for s in piece.present):
             rank = COLD
         elif rank == WARM and sum(s.grade >= COLD for s in open_to) > 1:
-            rank += 2 if piece.laid() else 1
+            rank += 2 if piece.laid() else 0
         return rank, -(piece.demand or 0.0)
 
     def difference(self, piece):
