--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -238,7 +238,7 @@
         self.levelled_at = self.now
         (good, bad), came = self.tried.bins, self.came
         self.tried, self.came = Tally(2), 0.0
-        if bad > BUSY * (good + bad) and self.strained:
+        if bad > 2 * BUSY * (good + bad):
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
         elif bad < BUSY * (good + bad):
