--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -10,7 +10,7 @@
 from . import interface as core
 from .state import Chance, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, users_of
 
-SLOWEST, URGENT = 8.0, 0.2  # times slower the channel may be; of half its limit, on top of it for drains
+SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
@@ -22,7 +22,7 @@
 SPARE, LEAST = 0.02, 1e-6  # weight of a slice's spare line, against its owner's; what is too small to divide
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.5  # the last a step, once hardly any try fails
-COLD_PART, WARY = (0.75, 0.4), 12000.0  # of what fells a cold server, in usual parts: calm; strained or new
+COLD_PART, WARY = (0.7, 0.35), 12000.0  # of what fells a cold server, in usual parts: calm; strained or new
 FILL = 5000.0         # a server's period as giver and as receiver: news of a move takes that long to show
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 FULL, CROWDED, GAP = 1.25, 1.5, 1.6  # of its fair part: a receiver's; a giver's; latency against the median
@@ -417,7 +417,7 @@
         easy = (self.queue_half - waiting) / each - self.head - 4
         # Beyond half the limit only for the rules: a drain's grace is short, and slices must not be bare.
         room = easy + URGENT * self.queue_half / each
-        if easy < min(self.head, 1 + len(changed)) or early and not changed:
+        if (room if early else easy) < min(self.head, 1 + len(changed)) or early and not changed:
             return []  # a full channel is not spent on the heads of messages that bring a line each
         orders = []
         if joined and (levels := self.tries()) != self.levels and easy > len(levels):
