--- /dev/null
+++ b/havendyke/__main__.py
@@ -0,0 +1,63 @@
+"""Assembles the real assigner: configuration, log, hub, listener and signals."""
+import argparse
+import asyncio
+import os
+import signal
+import sys
+
+from .config import ConfigError, load
+from .net.assigner import Assigner
+from .net.hub import Hub
+from .net.log import Log, counted
+
+
+async def serve(config):
+    counters = {}
+    hub = Hub(config.limits, Log(Hub.now), counters)
+    assigner, over = Assigner(config, hub), asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def show():
+        sys.stdout.buffer.write(counted(assigner.counters()))
+        sys.stdout.buffer.flush()
+
+    def end():
+        # Nothing is worth waiting for: what is on its way stands by itself, the rest is the next start's.
+        show()
+        os._exit(0)
+
+    loop.add_signal_handler(signal.SIGUSR1, show)
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, end)
+    hub.log("start", name=config.name, listen=config.listen, limits=[config.limits.memory_mb, config.limits.sockets])
+    assigner.start()
+    while True:
+        try:
+            await loop.create_server(assigner.collectors.caller, *config.listen, backlog=config.limits.backlog)
+            break
+        except OSError as error:
+            # The address may linger from the one before us, or not be there yet.
+            hub.log("listen_failed", cause=error.strerror)
+            await asyncio.sleep(config.limits.listen_again / 1000)
+    await over.wait()
+
+
+def main(arguments=None) -> int:
+    parser = argparse.ArgumentParser(prog="havendyke", description="One assigner on sockets.")
+    parser.add_argument("--config", help="the configuration's file; ROUTER_CONFIG by default")
+    parser.add_argument("--check", action="store_true", help="read and check the configuration, then end")
+    given = parser.parse_args(arguments)
+    try:
+        config = load(os.environ, given.config)
+    except ConfigError as error:
+        print(f"havendyke: {error}", file=sys.stderr)
+        return 2
+    if given.check:
+        print(f"havendyke: the configuration of {config.name} is well")
+        return 0
+    asyncio.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/havendyke/benchlink/__main__.py
+++ b/havendyke/benchlink/__main__.py
@@ -1,7 +1,8 @@
 """Reads batches from standard input, writes one reply for each to standard output."""
 import sys
 
-from .link import Link, WireError
+from ..fields import FieldError
+from .link import Link
 
 
 def main():
@@ -12,7 +13,7 @@
             if line.strip():
                 sys.stdout.write(link.answer(line) + "\n")
                 sys.stdout.flush()
-    except WireError as error:
+    except FieldError as error:
         print(f"havendyke.benchlink: line {number}: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -2,102 +2,39 @@
 import json
 
 from .. import interface as core
-from ..rules import Controller
+from ..config import read_settings
+from ..door import Door
+from ..fields import NUMBER, FieldError, ms, take, word
 
 SCOPES = {"Partial": "changes", "Complete": "whole", "Persisted": "stale", "Error": "failed"}
 STATES = {"U": "ready", "L": "draining", "D": "gone"}
-REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "once"}
 OUTCOMES = {"completed": "answered", "errored": "error", "saturated": "full", "overdue": "overdue",
             "refused_conn": "refused", "severed": "reset", "recalled": "overdue", "superseded": "overdue"}
 LOADS = {"load_share": "busy", "tps": "answers", "concurrent": "held", "depth": "waiting", "mean_ms": "service",
          "err_ps": "errors"}
-NUMBER = (int, float)
 SERVICE_WIDE = 65535
 
 
-class WireError(Exception):
-    """The input is not what the wire's page says; the text names the field."""
-
-
-def take(message, name, kind, default=...):
-    value = message.get(name) if isinstance(message, dict) else None
-    if value is None:
-        if default is ...:
-            raise WireError(f"field '{name}' is missing in {clip(message)}")
-        return default
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise WireError(f"field '{name}' has the wrong type in {clip(message)}")
-    return value
-
-
-def clip(message):
-    return json.dumps(message)[:120]
-
-
 def give_in(number, error):
     # The wire wants a failure in the decisions declared, whatever its cause.
     return {"kind": "GIVE_IN", "assignerId": number, "message": f"{type(error).__name__}: {error}"}
 
 
-def word(message, name, table):
-    value = take(message, name, str)
-    if value not in table:
-        raise WireError(f"field '{name}' has the unknown value '{value}'")
-    return table[value]
-
-
-def ms(message, name, default=...):
-    return take(message, name, NUMBER, default if default is ... else default * 1e6) / 1e6
-
-
-def read_settings(raw):
-    family, duty = take(raw, "familyInfo", dict, {}), take(raw, "obligations", dict, {})
-    limits = take(raw, "limits", dict, {})
-    zonal = take(family, "classOwnZone", list, [])
-    classes = [
-        core.OperationClass(
-            quoted=ms(c, "promise"), patience=ms(c, "hardLimit"), credit=take(c, "worth", NUMBER, 1.0),
-            repeat=REPEATS.get(c.get("repeat"), "once"), group=take(c, "group", str, "all"),
-            window=ms(c, "window", 0.0), own_zone=k < len(zonal) and bool(zonal[k]))
-        for k, c in enumerate(take(raw, "requestClasses", list))]
-    return core.Settings(
-        classes=classes, controllers=take(raw, "balancers", int, 1),
-        zones=len(take(raw, "localities", list, [None])), zone=take(raw, "zone", int, 0),
-        slices=take(family, "keyRanges", int, 0), one_owner=take(family, "oneOwner", bool, False),
-        lease=ms(family, "lease", 0.0), lingers=ms(family, "lingers", 0.0),
-        queue_limit=take(family, "pendingMax", NUMBER, 1e9),
-        channel_rate=take(family, "channelRate", NUMBER, 1e9), overhead=take(family, "overhead", NUMBER, 0.0),
-        push_delay=ms(family, "pushDelay", 0.0), message_cap=take(family, "updateCap", int, 0),
-        message_span=ms(family, "countedOver", 0.0), report_period=ms(family, "interval", 1000.0),
-        drain_grace=ms(duty, "drainGrace", 1000.0), cold=ms(duty, "cold", 0.0),
-        cold_from=take(duty, "coldFrom", NUMBER, 1.0), overload=take(duty, "overloadFactor", NUMBER, 1e9),
-        ask=raw.get("registryMode") == "ask", ask_within=ms(duty, "askWithin", 0.0),
-        probes=take(limits, "probes", bool, False), levels=take(family, "throttleBy", str, "none"),
-        sized=raw.get("weightKind") in ("nominal", "rough"))
-
-
-class Door:
-    """One instance: its controller, and the ids of what it knows."""
+class Bench:
+    """One instance: the door to its controller, and its number on the wire."""
 
     def __init__(self, number, message):
         self.number = number
-        self.controller = Controller(read_settings(take(message, "settings", dict)), take(message, "salt", int))
-        self.servers, self.slices, self.proxies = {}, {}, {}
-        self.inbox = []
-
-    def one(self, kind, make, number):
-        if number not in kind:
-            kind[number] = make(number)
-        return kind[number]
+        self.door = Door(read_settings(take(message, "settings", dict)), take(message, "salt", int))
 
     def server(self, message):
-        return self.one(self.servers, self.controller.server, take(message, "task", str))
+        return self.door.server(take(message, "task", str))
 
     def slice(self, message):
-        return self.one(self.slices, self.controller.slice, take(message, "routeTable", int))
+        return self.door.slice(take(message, "routeTable", int))
 
     def proxy(self, message):
-        return self.one(self.proxies, self.controller.proxy, take(message, "agent", int))
+        return self.door.proxy(take(message, "agent", int))
 
     def load(self, message):
         told = take(message, "feedback", dict, {})
@@ -129,7 +66,7 @@
             return core.Members(word(m, "scope", SCOPES), [self.entry(e) for e in take(m, "items", list, [])])
         if kind in ("INTAKE", "HEARD"):
             return None
-        raise WireError(f"field 'kind' has the unknown value '{kind}'")
+        raise FieldError(f"field 'kind' has the unknown value '{kind}'")
 
     def entry(self, e):
         started = take(e, "readyAt", NUMBER, 0)
@@ -169,41 +106,40 @@
 
 
 class Link:
-    """Many instances, each behind its own door; nothing passes between doors."""
+    """Many instances, each behind its own door; nothing passes between them."""
 
     def __init__(self):
-        self.doors = {}
+        self.benches = {}
 
     def answer(self, line):
         try:
             batch = json.loads(line)
         except ValueError as error:
-            raise WireError(f"not JSON: {error}") from None
+            raise FieldError(f"not JSON: {error}") from None
         if not isinstance(batch, dict):
-            raise WireError("a batch must be an object")
+            raise FieldError("a batch must be an object")
         now, serial = ms(batch, "ts"), take(batch, "serial", int)
         outbox, waiting = [], {}
         for message in take(batch, "inbox", list):
             kind, number = take(message, "kind", str), take(message, "assignerId", int)
             if kind == "BOOT":
                 try:
-                    self.doors[number] = waiting[number] = Door(number, message)
-                except WireError:
+                    self.benches[number] = waiting[number] = Bench(number, message)
+                except FieldError:
                     raise
                 except Exception as error:
                     outbox.append(give_in(number, error))
             elif kind == "TEARDOWN":
-                self.doors.pop(number, None)
+                self.benches.pop(number, None)
                 waiting.pop(number, None)
-            elif number in self.doors:
-                door = waiting[number] = self.doors[number]
-                event = door.read(kind, message)
+            elif number in self.benches:
+                bench = waiting[number] = self.benches[number]
+                event = bench.read(kind, message)
                 if event is not None:
-                    door.inbox.append(event)
-        for number, door in waiting.items():
-            events, door.inbox = door.inbox, []
+                    bench.door.inbox.append(event)
+        for number, bench in waiting.items():
             try:
-                outbox += [door.write(order) for order in door.controller.turn(now, events)]
+                outbox += [bench.write(order) for order in bench.door.turn(now)]
             except Exception as error:
                 outbox.append(give_in(number, error))
         return json.dumps({"serial": serial, "outbox": outbox}, separators=(",", ":"))
--- /dev/null
+++ b/havendyke/config.py
@@ -0,0 +1,151 @@
+"""The one place where configuration and settings are read, checked and given defaults."""
+import json
+from dataclasses import dataclass, field
+
+from . import interface as core
+from .fields import NUMBER, FieldError, clip, ms, take
+
+REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "once"}
+PREFIX = "ROUTER_"
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text names the key and what was expected."""
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Sizes, counts and times (ms) of the protocols; filled at start and handed down."""
+    memory_mb: float = 192.0
+    sockets: int = 1024            # file descriptors, with the reserve below for files and the listener
+    socket_reserve: int = 64
+    slots: int = 512               # connections of all kinds at a time
+    message: int = 1 << 20         # bytes of one message, whole
+    buffer: int = 1 << 14          # bytes of a connection's buffer at first
+    header: int = 1 << 14          # bytes of an HTTP head
+    connect: float = 250.0         # until a connection must be up
+    # Strangers that name no zone are closed after this, or, with all slots taken, the oldest of them at once.
+    stranger: float = 8000.0
+    call_bytes: int = 60_000       # of orders in one relay call
+    call_answer: float = 80.0      # the relay answers within 50 ms or never
+    call_idle: float = 1500.0      # our end goes before the relay's does under a call
+    call_again: float = 50.0       # between tries while the relay is away or turns calls away
+    news_streams: int = 2          # connections that carry the relay's news
+    news_silence: float = 2300.0   # two pings missed
+    news_settle: float = 40.0      # news of a slice waits so long for its lines
+    discovery_streams: int = 2
+    discovery_silence: float = 2600.0
+    discovery_again: float = 300.0
+    probe: float = 500.0           # until a probe's answer counts as overdue
+    probe_connect: float = 250.0   # the settings' own figure, where they state one
+    probes_open: int = 64
+    callers: int = 256             # connections of others' making at a time
+    backlog: int = 256
+    listen_again: float = 100.0
+    turn_again: float = 250.0      # after a failed decision
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: tuple
+    discovery: tuple
+    relay: tuple
+    seed: int
+    known: dict
+    settings: core.Settings
+    words: dict                    # names that messages use: zones, classes, machines, in the settings' order
+    limits: Limits = field(default_factory=Limits)
+
+
+def read_settings(raw: dict) -> core.Settings:
+    family, duty = take(raw, "familyInfo", dict, {}), take(raw, "obligations", dict, {})
+    limits = take(raw, "limits", dict, {})
+    zonal = take(family, "classOwnZone", list, [])
+    classes = [
+        core.OperationClass(
+            quoted=ms(c, "promise"), patience=ms(c, "hardLimit"), credit=take(c, "worth", NUMBER, 1.0),
+            repeat=REPEATS.get(c.get("repeat"), "once"), group=take(c, "group", str, "all"),
+            window=ms(c, "window", 0.0), own_zone=k < len(zonal) and bool(zonal[k]))
+        for k, c in enumerate(take(raw, "requestClasses", list))]
+    return core.Settings(
+        classes=classes, controllers=take(raw, "balancers", int, 1),
+        zones=len(take(raw, "localities", list, [None])), zone=take(raw, "zone", int, 0),
+        slices=take(family, "keyRanges", int, 0), one_owner=take(family, "oneOwner", bool, False),
+        lease=ms(family, "lease", 0.0), lingers=ms(family, "lingers", 0.0),
+        queue_limit=take(family, "pendingMax", NUMBER, 1e9),
+        channel_rate=take(family, "channelRate", NUMBER, 1e9), overhead=take(family, "overhead", NUMBER, 0.0),
+        push_delay=ms(family, "pushDelay", 0.0), message_cap=take(family, "updateCap", int, 0),
+        message_span=ms(family, "countedOver", 0.0), report_period=ms(family, "interval", 1000.0),
+        drain_grace=ms(duty, "drainGrace", 1000.0), cold=ms(duty, "cold", 0.0),
+        cold_from=take(duty, "coldFrom", NUMBER, 1.0), overload=take(duty, "overloadFactor", NUMBER, 1e9),
+        ask=raw.get("registryMode") == "ask", ask_within=ms(duty, "askWithin", 0.0),
+        probes=take(limits, "probes", bool, False), levels=take(family, "throttleBy", str, "none"),
+        sized=raw.get("weightKind") in ("nominal", "rough"))
+
+
+def read_words(raw: dict) -> dict:
+    names = [take(c, "name", str, "") for c in take(raw, "requestClasses", list)]
+    return {"zones": take(raw, "localities", list, []), "classes": names, "kinds": take(raw, "kinds", list, []),
+            "reports": take(take(raw, "telemetry", dict, {}), "source", str, "none") != "none",
+            "proxies": take(take(raw, "familyInfo", dict, {}), "dataPlaneSize", int, 0)}
+
+
+def address(text: str, key: str) -> tuple:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"'{key}' must be host:port, not '{text[:60]}'")
+    return host.strip("[]"), int(port)
+
+
+def read_limits(raw: dict, settings: dict) -> Limits:
+    sockets = take(raw, "sockets", int, Limits.sockets)
+    if sockets <= 2 * Limits.socket_reserve:
+        raise ConfigError(f"'limits.sockets' must be over {2 * Limits.socket_reserve}, not {sockets}")
+    slots = min(Limits.slots, sockets - Limits.socket_reserve)
+    return Limits(memory_mb=float(take(raw, "memory_mb", NUMBER, Limits.memory_mb)), sockets=sockets, slots=slots,
+                  callers=min(Limits.callers, slots // 2),
+                  probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect))
+
+
+def read_config(raw: dict, environ: dict) -> Config:
+    """The configuration's object, checked against the variables that repeat parts of it."""
+    if not isinstance(raw, dict):
+        raise ConfigError(f"the configuration must be an object, not {clip(raw)}")
+    for key in ("name", "listen", "discovery"):
+        told = environ.get(PREFIX + key.upper())
+        if told is not None and told != take(raw, key, str):
+            raise ConfigError(f"'{key}' is '{raw[key][:60]}', but {PREFIX}{key.upper()} is '{told[:60]}'")
+    try:
+        seed = int(take(raw, "seed", str), 16)
+    except FieldError:
+        raise
+    except ValueError:
+        raise ConfigError(f"'seed' must be hexadecimal, not '{raw['seed'][:60]}'") from None
+    settings = take(raw, "settings", dict)
+    made = read_settings(settings)
+    if not made.classes:
+        raise ConfigError("'settings.requestClasses' must name one class at least")
+    return Config(
+        name=take(raw, "name", str), listen=address(take(raw, "listen", str), "listen"),
+        discovery=address(take(raw, "discovery", str), "discovery"),
+        relay=address(take(take(raw, "distributor", dict), "address", str), "distributor.address"),
+        seed=seed, known=take(raw, "known", dict, {}), settings=made, words=read_words(settings),
+        limits=read_limits(take(raw, "limits", dict, {}), settings))
+
+
+def load(environ: dict, path: str | None = None) -> Config:
+    path = path or environ.get(PREFIX + "CONFIG")
+    if not path:
+        raise ConfigError(f"{PREFIX}CONFIG is not set: it must name the configuration's file")
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"{PREFIX}CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{PREFIX}CONFIG: {path}: not JSON: {error}") from None
+    try:
+        return read_config(raw, environ)
+    except FieldError as error:
+        raise ConfigError(str(error)) from None
--- /dev/null
+++ b/havendyke/fields.py
@@ -0,0 +1,34 @@
+"""A field of a message or of the configuration: taken and checked, or an error that names it."""
+
+NUMBER = (int, float)
+
+
+class FieldError(ValueError):
+    """What came in is not what its page says; the text names the field."""
+
+
+def clip(message):
+    return repr(message)[:120]
+
+
+def take(message, name, kind, default=...):
+    value = message.get(name) if isinstance(message, dict) else None
+    if value is None:
+        if default is ...:
+            raise FieldError(f"field '{name}' is missing in {clip(message)}")
+        return default
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise FieldError(f"field '{name}' has the wrong type in {clip(message)}")
+    return value
+
+
+def word(message, name, table):
+    value = take(message, name, str)
+    if value not in table:
+        raise FieldError(f"field '{name}' has the unknown value '{value[:40]}'")
+    return table[value]
+
+
+def ms(message, name, default=...):
+    """Nanoseconds on the wire and in the settings, milliseconds inside."""
+    return take(message, name, NUMBER, default if default is ... else default * 1e6) / 1e6
--- /dev/null
+++ b/havendyke/net/discovery.py
@@ -0,0 +1,110 @@
+"""The list of servers: once whole, then its changes on watches; silence is found out by the empty lines."""
+from ..fields import FieldError
+from .buffer import Buffer
+from .http import DONE, Answer, query
+from .lines import Lines, value
+
+PATH = "/registry/instances"
+
+
+class Question:
+    """One connection to discovery: the whole list (`follow` false), or a watch from a version on."""
+
+    name = "discovery"
+
+    def __init__(self, discovery, follow):
+        self.discovery, self.hub, self.follow = discovery, discovery.hub, follow
+        self.since, self.first, self.silence = discovery.version, True, None
+        self.answer = self.lines = self.body = None
+        self.connection = self.hub.connect(discovery.address, self)
+        self.listen()
+
+    def listen(self):
+        self.hub.drop(self.silence)
+        self.silence = self.hub.after(self.hub.limits.discovery_silence, lambda: self.connection.close("silent"))
+
+    def opened(self, connection):
+        limits = self.hub.limits
+        self.since = self.discovery.version
+        self.answer = Answer(connection.buffer, limits.header)
+        self.body = Buffer(limits.buffer, limits.message)
+        self.lines = Lines(self.body, limits.message)
+        path = f"{PATH}?follow=1&since={self.since}" if self.follow else PATH
+        connection.write(query(path, self.discovery.address, "" if self.follow else "Connection: close\r\n"))
+
+    def received(self, connection):
+        self.listen()
+        while (part := self.answer.next()) is not None:
+            if self.answer.status != 200:
+                raise FieldError(f"status {self.answer.status}")
+            self.body.add(part)
+            while self.follow and (line := self.lines.next()) is not None:
+                if line:
+                    self.object(value(line))
+        if self.answer.state == DONE:
+            self.whole()
+
+    def whole(self):
+        if not self.follow and self.body.end:
+            self.object(value(memoryview(self.body.data)[self.body.start:self.body.end]))
+            self.body.start = self.body.end = 0
+        self.connection.close("done")
+
+    def object(self, told):
+        self.discovery.object(self, told)
+        self.first = False
+
+    def closed(self, connection, why):
+        self.hub.drop(self.silence)
+        self.discovery.lost(self, why)
+
+
+class Discovery:
+    def __init__(self, hub, address, messages, tell, version):
+        self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
+        self.version, self.questions, self.away = version, [], False
+
+    def start(self):
+        self.ask(False)
+        self.watch()
+
+    def watch(self):
+        while sum(q.follow for q in self.questions) < self.hub.limits.discovery_streams:
+            if not self.ask(True):
+                return
+
+    def ask(self, follow):
+        question = Question(self, follow)
+        if question.connection is None:
+            self.hub.after(self.hub.limits.discovery_again, self.watch)
+            return False
+        self.questions.append(question)
+        return True
+
+    def object(self, question, told):
+        event, version = self.messages.members(told)
+        # A watch tells all since its last object, so what a sooner one has told is left out here. A version
+        # gone back to where the whole list begins anew is discovery's own new start.
+        anew = question.first and event.scope == "whole" and version < question.since
+        if version > self.version or anew or not question.follow and version == self.version:
+            self.version = version
+            self.hub.count(f"list_{event.scope}")
+            self.hub.log("list", scope=event.scope, version=version, entries=len(event.entries))
+            self.tell(event)
+        else:
+            self.hub.count("list_known")
+        if self.away:
+            self.away = False
+            self.hub.log("discovery_back")
+
+    def lost(self, question, why):
+        self.questions.remove(question)
+        if why != "done" and not self.away:
+            self.away = True
+            self.hub.log("discovery_lost", why=why, follow=question.follow)
+        if not question.follow:
+            if why != "done":
+                self.hub.after(self.hub.limits.discovery_again, lambda: self.ask(False))
+        else:
+            # Silent ones have waited long enough.
+            self.hub.after(0.0 if why in ("silent", "done") else self.hub.limits.discovery_again, self.watch)
--- /dev/null
+++ b/havendyke/net/hub.py
@@ -0,0 +1,157 @@
+"""The loop's side: sockets, the clock, deadlines and turns. State machines see only what `Hub` offers."""
+import asyncio
+import time
+
+from .buffer import Buffer
+from .deadlines import Deadlines
+from .slots import Slots
+
+
+class Connection(asyncio.BufferedProtocol):
+    """One socket, in or out. Its peer is told `opened()`, `received()` after more bytes, and `closed(why)` once."""
+
+    def __init__(self, hub, peer, number):
+        self.hub, self.peer, self.number = hub, peer, number
+        self.buffer = Buffer(hub.limits.buffer, hub.limits.message)
+        self.transport, self.deadline, self.dialling, self.over = None, None, None, False
+        self.heard_at = hub.now()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        if self.over:
+            transport.abort()
+            return
+        self.hub.drop(self.deadline)
+        self.deadline = None
+        self.tell(self.peer.opened, self)
+
+    def get_buffer(self, sizehint):
+        return self.buffer.room()
+
+    def buffer_updated(self, count):
+        self.buffer.end += count
+        self.heard_at = self.hub.now()
+        if not self.over:
+            self.tell(self.peer.received, self)
+
+    def eof_received(self):
+        if not self.over:
+            self.close("ended")
+        return False
+
+    def connection_lost(self, error):
+        self.close("reset" if isinstance(error, ConnectionResetError) else "lost" if error else "ended")
+
+    def tell(self, call, *more):
+        # Whatever one peer sends ends its own connection at most.
+        try:
+            call(*more)
+        except ValueError as error:
+            self.hub.count("bad_messages")
+            self.hub.log("bad_message", peer=self.peer.name, field=str(error)[:200])
+            self.close("bad")
+        except Exception as error:
+            self.hub.count("failures")
+            self.hub.log("failure", peer=self.peer.name, cause=f"{type(error).__name__}: {error}")
+            self.close("failure")
+
+    def write(self, data: bytes):
+        if self.transport is not None and not self.over:
+            self.transport.write(data)
+
+    def close(self, why: str):
+        """Ends the connection for good; its peer hears of it once."""
+        if self.over:
+            return
+        self.over = True
+        self.hub.drop(self.deadline)
+        self.hub.slots.leave(self.number)
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.dialling is not None:
+            self.dialling.cancel()
+        self.hub.count(f"closed_{self.peer.name}_{why}")
+        self.tell(self.peer.closed, self, why)
+
+
+class Hub:
+    def __init__(self, limits, log, counters):
+        self.limits, self.log, self.counters = limits, log, counters
+        self.loop = asyncio.get_running_loop()
+        self.deadlines, self.slots = Deadlines(), Slots(limits.slots)
+        self.armed, self.armed_at, self.tasks = None, None, set()
+        self.born = time.monotonic()
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic() * 1000
+
+    @staticmethod
+    def wall() -> float:
+        return time.monotonic() * 1000 - time.time() * 1000
+
+    def count(self, name: str, more: int = 1):
+        self.counters[name] = self.counters.get(name, 0) + more
+
+    def after(self, wait: float, call):
+        made = self.deadlines.add(self.now() + wait, call)
+        self.arm()
+        return made
+
+    def drop(self, deadline):
+        self.deadlines.drop(deadline)
+
+    def arm(self):
+        first = self.deadlines.first()
+        if first is None or self.armed is not None and self.armed_at <= first:
+            return
+        if self.armed is not None:
+            self.armed.cancel()
+        self.armed_at = first
+        self.armed = self.loop.call_at(first / 1000, self.ring)
+
+    def ring(self):
+        self.armed = None
+        # The loop's timers may come a hair early.
+        for call in self.deadlines.due(self.now() + 0.2):
+            try:
+                call()
+            except Exception as error:
+                self.count("failures")
+                self.log("failure", peer="deadline", cause=f"{type(error).__name__}: {error}")
+        self.arm()
+
+    def soon(self, call):
+        self.loop.call_soon(call)
+
+    def connect(self, address: tuple, peer, wait: float | None = None):
+        """A connection on its way up, or None where no slot is free."""
+        made = Connection(self, peer, None)
+        made.number = self.slots.take(made)
+        if made.number is None:
+            self.count("slots_full")
+            return None
+        made.deadline = self.after(wait or self.limits.connect, lambda: made.close("timeout"))
+        made.dialling = self.loop.create_task(self.dial(made, address))
+        self.tasks.add(made.dialling)
+        made.dialling.add_done_callback(self.tasks.discard)
+        return made
+
+    async def dial(self, made, address):
+        try:
+            await self.loop.create_connection(lambda: made, *address)
+        except ConnectionRefusedError:
+            made.close("refused")
+        except OSError as error:
+            made.close("reset" if isinstance(error, ConnectionResetError) else "unreachable")
+
+    def accept(self, peer):
+        """For the listener: a connection for a newcomer, or one that turns it away."""
+        made = Connection(self, peer, None)
+        made.number = self.slots.take(made)
+        if made.number is None:
+            self.count("slots_full")
+            made.over = True
+        else:
+            self.count("accepted")
+        return made
--- /dev/null
+++ b/havendyke/net/probes.py
@@ -0,0 +1,73 @@
+"""Questions to servers whether they are well; no connection outlives its question."""
+from .. import interface as core
+from .http import DONE, REST, Answer, query
+from .messages import read_load, text
+
+
+class Probe:
+    name = "probes"
+
+    def __init__(self, probes, server, address):
+        self.probes, self.hub, self.server, self.address = probes, probes.hub, server, address
+        self.began, self.answer, self.body, self.outcome = self.hub.now(), None, b"", None
+        self.overdue = self.hub.after(self.hub.limits.probe, lambda: self.connection.close("overdue"))
+        self.connection = self.hub.connect(address, self, self.hub.limits.probe_connect)
+
+    def opened(self, connection):
+        self.answer = Answer(connection.buffer, self.hub.limits.header)
+        connection.write(query(self.probes.path, self.address, "Connection: close\r\n"))
+
+    def received(self, connection):
+        while (part := self.answer.next()) is not None:
+            self.body += bytes(part)
+            if len(self.body) > self.hub.limits.header:
+                raise ValueError("a load report is too long")
+        if self.answer.state == DONE:
+            connection.close("answered")
+
+    def closed(self, connection, why):
+        self.hub.drop(self.overdue)
+        answer = self.answer
+        # An answer without a length ends with its connection.
+        whole = answer is not None and (answer.state == DONE or answer.state == REST and why == "ended")
+        if whole:
+            outcome = "answered" if answer.status == 200 else "full" if answer.status == 503 else "error"
+        elif answer is None:
+            # Not even a connection: down, or out of reach.
+            outcome = "reset" if why == "reset" else "refused"
+        else:
+            outcome = {"overdue": "overdue", "bad": "error"}.get(why, "reset")
+        load = {}
+        if outcome == "answered" and self.body:
+            try:
+                load = read_load(text(self.body))
+            except ValueError as error:
+                self.hub.count("bad_messages")
+                self.hub.log("bad_message", peer=self.name, field=str(error)[:200])
+        self.probes.done(self, outcome, load, why)
+
+
+class Probes:
+    def __init__(self, hub, messages, tell, path):
+        self.hub, self.messages, self.tell, self.path = hub, messages, tell, path
+        self.open = 0
+
+    def ask(self, server):
+        host, _, port = self.messages.endpoints.get(server, "").rpartition(":")
+        if not host or not port.isdigit() or self.open >= self.hub.limits.probes_open:
+            self.hub.count("probes_left_out")
+            return
+        self.open += 1
+        probe = Probe(self, server, (host.strip("[]"), int(port)))
+        if probe.connection is None:
+            self.hub.drop(probe.overdue)
+            self.open -= 1
+            self.hub.count("probes_left_out")
+
+    def done(self, probe, outcome, load, why):
+        self.open -= 1
+        self.hub.count(f"probes_{outcome}")
+        if outcome != "answered":
+            self.hub.log("probe", server=probe.server.id, outcome=outcome, why=why,
+                         body=text(probe.body)[:100], ms=round(self.hub.now() - probe.began, 1))
+        self.tell(core.Probed(probe.server, outcome, self.hub.now() - probe.began, load))
--- /dev/null
+++ b/havendyke/net/relay.py
@@ -0,0 +1,208 @@
+"""Calls to the relay: one at a time, in order; newer orders take the place of older ones that wait."""
+import orjson
+
+from ..fields import FieldError, take
+from .lines import Lines, value
+from .messages import call
+from .news import News, alike
+
+
+class Relay:
+    name = "relay"
+
+    def __init__(self, hub, address, messages, tell):
+        self.hub, self.address, self.limits = hub, address, hub.limits
+        self.news = News(hub, address, messages, tell, self.quiet)
+        self.waiting = {}                   # orders by key, oldest first
+        self.connection, self.lines, self.idle = None, None, None
+        self.sent, self.number, self.deadline = None, 0, None  # orders of the call under way
+        self.sent_at = self.ended_at = -1e9
+        self.doubt, self.paused, self.away, self.few = None, None, None, None
+
+    def quiet(self, since) -> bool:
+        return self.sent is None and self.doubt is None and self.ended_at < since
+
+    def put(self, key, order):
+        """An order that waits gives way to a newer one for the same thing."""
+        if key[0] == "clear":
+            for other in [k for k in self.waiting if k[0] == "line" and k[1] == key[1]]:
+                del self.waiting[other]
+        elif key[0] == "tries":
+            for other in [k for k in self.waiting if k[0] == "tries" and set(k[1:]) <= set(key[1:])]:
+                del self.waiting[other]
+        old = self.waiting.pop(key, None)
+        if old and key[0] == "mark":
+            order = {**order, "yes": old["yes"] | order["yes"]}
+        self.waiting[key] = order
+
+    def put_back(self, orders):
+        newer, self.waiting = self.waiting, dict(orders)
+        for key, order in newer.items():
+            self.put(key, order)
+
+    def order(self, orders):
+        for key, order in orders:
+            self.put(key, order)
+        self.next()
+
+    def next(self):
+        if not self.waiting or self.sent or self.doubt or self.paused:
+            return
+        if self.connection is None:
+            self.connection = self.hub.connect(self.address, self)
+            if self.connection is None:
+                self.pause("no_slot")
+        elif self.lines is not None:
+            self.send()
+
+    def pause(self, why):
+        if self.away is None:
+            self.hub.log("relay_away", why=why, waiting=len(self.waiting))
+        self.away = why
+        if self.paused is None:
+            self.paused = self.hub.after(self.limits.call_again, self.resume)
+
+    def resume(self):
+        self.paused = None
+        self.next()
+
+    def opened(self, connection):
+        self.lines = Lines(connection.buffer, self.limits.message)
+        self.next()
+        self.rest()
+
+    def rest(self):
+        # The relay ends what stands idle; a call under which it does so would have an unknown end.
+        self.hub.drop(self.idle)
+        self.idle = self.hub.after(self.limits.call_idle, self.leave)
+
+    def leave(self):
+        if self.connection is not None and not self.sent:
+            self.connection.close("idle")
+
+    def send(self):
+        self.sent, size = {}, 0
+        for key, order in list(self.waiting.items()):
+            size += len(orjson.dumps(order)) + 1
+            if self.sent and (size > self.limits.call_bytes or len(self.sent) == self.few):
+                break
+            self.sent[key] = self.waiting.pop(key)
+        self.number = self.news.number()
+        self.hub.drop(self.idle)
+        self.sent_at = self.hub.now()
+        self.hub.count("relay_calls")
+        self.hub.count("relay_orders", len(self.sent))
+        self.deadline = self.hub.after(self.limits.call_answer, lambda: self.connection.close("silent"))
+        self.connection.write(call(self.number, "relay.apply", list(self.sent.values())))
+
+    def received(self, connection):
+        while (line := self.lines.next()) is not None:
+            if line:
+                self.answer(value(line))
+
+    def answer(self, told):
+        if self.sent is None or told.get("id") != self.number:
+            self.hub.count("relay_stale_answers")
+            return
+        if "error" in told:
+            self.refused(told["error"])
+        else:
+            taken = take(take(told, "result", dict), "taken", int)
+            if taken < 0:
+                raise FieldError(f"field 'taken' is {taken}")
+            self.answered(taken)
+
+    def end(self, how):
+        self.hub.drop(self.deadline)
+        self.hub.count(f"relay_{how}")
+        orders, self.sent, self.ended_at = self.sent, None, self.hub.now()
+        return orders
+
+    def answered(self, taken):
+        if self.away:
+            self.hub.log("relay_back", after=self.away)
+            self.away = None
+        orders, self.few = list(self.end("answered").items()), None
+        self.carried(orders[:taken])
+        if taken < len(orders):
+            # The one at fault would stop every call behind it.
+            self.hub.count("relay_short")
+            self.hub.log("order_refused", order=orders[taken][1])
+            self.put_back(orders[taken + 1:])
+        self.rest()
+        self.next()
+
+    def refused(self, error):
+        code = error.get("message", error.get("code", error)) if isinstance(error, dict) else error
+        orders = self.end("turned_away")
+        if "SYNTAX" in str(error):
+            self.hub.log("call_refused", error=str(code)[:100], orders=len(orders))
+            self.hub.count("relay_syntax")
+            # Halves find the one that cannot be read; the rest must not suffer for it.
+            self.few = len(orders) // 2 or None
+            orders = orders if self.few else {}
+        self.put_back(orders)
+        self.pause(str(code)[:60])
+
+    def carried(self, orders):
+        for key, order in orders:
+            self.lay(self.news.store, key, order)
+
+    @staticmethod
+    def lay(store, key, order):
+        table = store.get(key[1]) if len(key) > 1 else None
+        if table is None or key[0] not in ("line", "clear"):
+            return
+        if key[0] == "clear":
+            table.clear()
+        elif order["share"] > 0:
+            table[order["host"]] = order["share"]
+        else:
+            table.pop(order["host"], None)
+
+    def closed(self, connection, why):
+        if connection is not self.connection:
+            return
+        self.connection = self.lines = None
+        if self.sent:
+            self.unknown(why)
+        elif why != "idle" and self.waiting:
+            self.pause(why)
+
+    def unknown(self, why):
+        """The call was carried out whole or not at all: the store's lines tell which."""
+        self.doubt = self.end("unknown")
+        self.hub.log("call_unknown", why=why, orders=len(self.doubt))
+        self.away = self.away or why
+        self.look()
+
+    def look(self):
+        if any(self.changed()):
+            self.news.ask(self.judge)
+        else:
+            self.settle(False)  # no line tells; what is left is short, and the same again does no harm
+
+    def changed(self):
+        """The tables that the call in doubt changes, with their lines if it was carried out."""
+        tables = {key[1] for key in self.doubt if key[0] in ("line", "clear")}
+        expected = {t: dict(self.news.store[t]) for t in tables if t in self.news.store}
+        for key, order in self.doubt.items():
+            self.lay(expected, key, order)
+        return {t: lines for t, lines in expected.items() if not alike(lines, self.news.store[t])}
+
+    def judge(self, rows):
+        if rows is None:
+            self.look()
+            return
+        seen = [alike(lines, rows[t]) for t, lines in self.changed().items() if t in rows]
+        self.hub.log("call_judged", carried=sum(seen), tables=len(seen))
+        self.settle(bool(seen) and all(seen))
+
+    def settle(self, carried):
+        orders, self.doubt = self.doubt, None
+        self.hub.count("relay_found_carried" if carried else "relay_again")
+        if carried:
+            self.carried(orders.items())
+        else:
+            self.put_back(orders)
+        self.next()
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from havendyke.benchlink.link import Link, WireError
+from havendyke.benchlink.link import Link
+from havendyke.fields import FieldError
 
 BOOT = {"kind": "BOOT", "assignerId": 1, "salt": 5, "settings": {
     "requestClasses": [{"promise": 1e9, "hardLimit": 3e9, "repeat": "pure"}], "unknown": {"x": 1},
@@ -28,7 +29,7 @@
 def test_malformed_input_names_the_field(event, field):
     link = Link()
     send(link, BOOT)
-    with pytest.raises(WireError, match=f"'{field}'"):
+    with pytest.raises(FieldError, match=f"'{field}'"):
         send(link, event)
 
 
@@ -46,7 +47,7 @@
 def test_a_failure_in_the_decisions_is_declared_with_its_cause():
     link = Link()
     send(link, BOOT)
-    link.doors[1].controller.turn = lambda now, events: 1 // 0
+    link.benches[1].door.controller.turn = lambda now, events: 1 // 0
     reply = send(link, {"kind": "PARTED", "assignerId": 1, "agent": 0})
     assert reply["outbox"] == [{"kind": "GIVE_IN", "assignerId": 1,
                                 "message": "ZeroDivisionError: integer division or modulo by zero"}]
