News: yes and no are truth values; a failed news stream waits before the next

Seen: 9,970 bad_message lines, field 'yes' has the wrong type, streams reopened without a pause, 24 s of CPU. At fault: take() refuses truth values inside a tuple of types; News.lost reopened at once whatever had come of it.

--- a/havendyke/fields.py
+++ b/havendyke/fields.py
@@ -22,6 +22,12 @@
     return value
 
 
+def flag(message, name, default=...):
+    """Yes or no, as a truth value or as 1 and 0."""
+    value = message.get(name) if isinstance(message, dict) else None
+    return value if isinstance(value, bool) else bool(take(message, name, int, default))
+
+
 def word(message, name, table):
     value = take(message, name, str)
     if value not in table:
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -1,6 +1,6 @@
 """The relay's news: what stands, then changes, on two connections or more; each change is told once."""
 from .. import interface as core
-from ..fields import NUMBER, FieldError, take, word
+from ..fields import NUMBER, FieldError, flag, take, word
 from .lines import Lines, value
 from .messages import call
 
@@ -64,7 +64,7 @@
             self.news.answer(self, self.news.messages.proxy(params), take(params, "version", int),
                              take(params, "lag_ms", NUMBER, 0.0))
         elif kind == "GRANT":
-            self.grant(self.news.messages.piece(params), bool(take(params, "yes", (bool, int))))
+            self.grant(self.news.messages.piece(params), flag(params, "yes"))
         elif kind == "ROW":
             table = self.rows.get(self.news.messages.piece(params))
             host, weight = take(params, "host", str), take(params, "share", NUMBER)
@@ -166,8 +166,8 @@
             # What only the lost one had told, or was behind with.
             for proxy in set(self.proxies) | set(other.proxies):
                 self.agree(proxy, other)
-        # One that came up is replaced at once; one that did not is tried again a little later.
-        self.hub.after(0.0 if stream.sound else self.hub.limits.call_again, self.start)
+        # One that told what stands is replaced at once; one that failed before is tried again a little later.
+        self.hub.after(0.0 if stream.settled else self.hub.limits.call_again, self.start)
 
     def settle_proxy(self, proxy, stream):
         """Tells what this stream knows of a proxy beyond what was told."""
@@ -181,7 +181,7 @@
             params = stream.last[proxy]
             self.tell(core.Joined(self.messages.door.proxy(proxy), self.messages.zones[params["az"]],
                                   take(params, "share", NUMBER, 1.0),
-                                  bool(take(params, "standing", (bool, int), False))))
+                                  flag(params, "standing", False)))
 
     def agree(self, proxy, stream):
         """Makes what was told of a proxy what this stream says, where the two differ."""
