--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -13,7 +13,7 @@
 
 async def serve(config):
     counters = {}
-    hub = Hub(config.limits, Log(Hub.now), counters)
+    hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines), counters)
     assigner, over = Assigner(config, hub), asyncio.Event()
     loop = asyncio.get_running_loop()
 
@@ -34,6 +34,7 @@
     while True:
         try:
             await loop.create_server(assigner.collectors.caller, *config.listen, backlog=config.limits.backlog)
+            hub.log("listening")
             break
         except OSError as error:
             # The address may linger from the one before us, or not be there yet.
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -18,7 +18,8 @@
     """Sizes, counts and times (ms) of the protocols; filled at start and handed down."""
     memory_mb: float = 192.0
     sockets: int = 1024            # file descriptors, with the reserve below for files and the listener
-    socket_reserve: int = 64
+    socket_reserve: int = 64       # or a third, where they are few
+    sockets_least: int = 48
     slots: int = 512               # connections of all kinds at a time
     message: int = 1 << 20         # bytes of one message, whole
     buffer: int = 1 << 14          # bytes of a connection's buffer at first
@@ -33,7 +34,7 @@
     call_idle: float = 1500.0      # our end goes before the relay's does under a call
     call_again: float = 50.0       # between tries while the relay is away or turns calls away, at first
     again_most: float = 500.0      # and at most, for all that is tried again
-    look: float = 1000.0           # until a look at what stands must have come
+    look: float = 500.0            # until a look at what stands must have come
     late_row: float = 1000.0       # after its grant, a line that comes late still belongs to it
     news_streams: int = 2          # connections that carry the relay's news
     news_silence: float = 2300.0   # two pings missed
@@ -46,6 +47,9 @@
     probes_open: int = 64
     callers: int = 256             # connections of others' making at a time
     backlog: int = 256
+    standstill: float = 100.0      # deadlines this late wait once more, so that what came in goes first
+    catch_up: float = 30.0
+    log_lines: int = 200           # a second
     listen_again: float = 100.0
     turn_again: float = 250.0      # after a failed decision
 
@@ -105,13 +109,13 @@
 
 def read_limits(raw: dict, settings: dict) -> Limits:
     sockets = take(raw, "sockets", int, Limits.sockets)
-    if sockets <= 2 * Limits.socket_reserve:
-        raise ConfigError(f"'limits.sockets' must be over {2 * Limits.socket_reserve}, not {sockets}")
+    if sockets < Limits.sockets_least:
+        raise ConfigError(f"'limits.sockets' must be {Limits.sockets_least} at least, not {sockets}")
     memory = float(take(raw, "memory_mb", NUMBER, Limits.memory_mb))
-    slots = min(Limits.slots, sockets - Limits.socket_reserve)
+    slots = min(Limits.slots, sockets - min(Limits.socket_reserve, sockets // 3))
     return Limits(memory_mb=memory, sockets=sockets, slots=slots,
                   buffers=memory * 0.25e6,
-                  callers=min(Limits.callers, slots // 2),
+                  callers=min(Limits.callers, slots // 2), probes_open=min(Limits.probes_open, slots // 4),
                   probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect))
 
 
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -13,16 +13,13 @@
 
     def __init__(self, collectors):
         self.collectors, self.hub = collectors, collectors.hub
-        self.connection, self.parser, self.zone, self.patience = None, None, None, None
+        self.connection, self.parser, self.zone = None, None, None
+        self.patience = None  # the deadline of a stranger
 
     def opened(self, connection):
         self.connection = connection
         self.parser = Resp(connection.buffer, self.hub.limits.message)
         self.collectors.callers.append(self)
-        self.wait()
-
-    def wait(self):
-        self.hub.drop(self.patience)
         self.patience = self.hub.after(self.hub.limits.stranger, lambda: self.connection.close("stranger"))
 
     def received(self, connection):
@@ -34,8 +31,7 @@
         if kind == b"PING":
             self.hub.count("pings")
             self.connection.write(PONG)
-            if self.zone is None:
-                self.wait()
+            self.hub.drop(self.patience)  # no stranger; it gives way only where room is short
         elif kind == b"SOURCE":
             told = {text(parts[k]): text(parts[k + 1]) for k in range(1, len(parts) - 1, 2)}
             self.zone = take(told, "az", str)
--- a/havendyke/net/hub.py
+++ b/havendyke/net/hub.py
@@ -26,12 +26,13 @@
         self.tell(self.peer.opened, self)
 
     def get_buffer(self, sizehint):
-        return self.buffer.room()
+        room = None if self.over else self.tell(self.buffer.room)
+        return bytearray(1024) if room is None else room  # what comes after the end is read and left
 
     def buffer_updated(self, count):
-        self.buffer.end += count
-        self.heard_at = self.hub.now()
         if not self.over:
+            self.buffer.end += count
+            self.heard_at = self.hub.now()
             self.tell(self.peer.received, self)
 
     def eof_received(self):
@@ -45,7 +46,7 @@
     def tell(self, call, *more):
         # Whatever one peer sends ends its own connection at most.
         try:
-            call(*more)
+            return call(*more)
         except ValueError as error:
             self.hub.count("bad_messages")
             self.hub.log("bad_message", peer=self.peer.name, field=str(error)[:200])
@@ -84,7 +85,7 @@
         self.loop.set_exception_handler(self.failed)
         self.deadlines, self.slots = Deadlines(), Slots(limits.slots)
         self.budget = Budget(limits.buffers)
-        self.armed, self.armed_at, self.tasks = None, None, set()
+        self.armed, self.armed_at, self.late, self.tasks = None, None, False, set()
         self.born = time.monotonic()
 
     def failed(self, loop, context):
@@ -121,6 +122,11 @@
 
     def ring(self):
         self.armed = None
+        # After a standstill of ours, what came in meanwhile goes first: it is we who were silent, not the others.
+        self.late = not self.late and self.now() - self.armed_at > self.limits.standstill
+        if self.late:
+            self.armed = self.loop.call_later(self.limits.catch_up / 1000, self.ring)
+            return
         # The loop's timers may come a hair early.
         for call in self.deadlines.due(self.now() + 0.2):
             try:
--- a/havendyke/net/lines.py
+++ b/havendyke/net/lines.py
@@ -22,6 +22,10 @@
         self.seen, self.buffer.start = 0, stop + 1
         return memoryview(data)[start:stop - 1 if stop > start and data[stop - 1] == 13 else stop]
 
+    def cut(self) -> bool:
+        """Whether a line has begun and not ended."""
+        return self.buffer.end > self.buffer.start
+
 
 def value(line: memoryview) -> dict:
     """The line's JSON object."""
--- a/havendyke/net/log.py
+++ b/havendyke/net/log.py
@@ -6,22 +6,26 @@
 
 
 class Log:
-    def __init__(self, clock, most: int = 20_000):
-        self.clock, self.left, self.dropped = clock, most, 0
+    def __init__(self, clock, most: int):
+        """`most` lines a second, whatever repeats itself."""
+        self.clock, self.most, self.left, self.second, self.dropped = clock, most, most, 0, 0
         # A reader of the log that stands still must not stop the loop. A line under the pipe's atomic size is
         # written whole or not at all.
         if stat.S_ISFIFO(os.fstat(2).st_mode):
             os.set_blocking(2, False)
 
     def __call__(self, event: str, **more):
-        # A trouble that repeats itself must not fill what holds the log.
+        now = self.clock()
+        if now // 1000 != self.second:
+            self.second, self.left = now // 1000, self.most
         self.left -= 1
-        if self.left >= 0:
-            line = {"at": round(self.clock(), 1), "event": event, **more}
-            try:
-                os.write(2, orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
-            except OSError:
-                self.dropped += 1
+        try:
+            if self.left < 0:
+                raise BlockingIOError
+            os.write(2, orjson.dumps({"at": round(now, 1), "event": event, **more}, default=str,
+                                     option=orjson.OPT_APPEND_NEWLINE))
+        except OSError:
+            self.dropped += 1
 
 
 def counted(counters: dict) -> bytes:
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -130,6 +130,9 @@
     def settle(self):
         if not self.sound:
             return
+        if self.lines.cut():
+            self.settle_soon()  # more is on its way, in pieces; should it never come, silence ends the stream
+            return
         rows, self.rows = self.rows, {}
         if not self.look:
             self.news.settle(self, rows)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,99 @@
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from helpers import SETTINGS, raw_config
+
+from havendyke.config import ConfigError, Limits, load
+from havendyke.net.deadlines import Backoff, Deadlines
+from havendyke.net.resp import encode
+from havendyke.net.slots import Slots
+
+
+def written(tmp_path, raw):
+    path = tmp_path / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    return str(path)
+
+
+@pytest.mark.parametrize("raw, environ, key", [
+    ("{", {}, "not JSON"), ([], {}, "object"), (raw_config(name=None), {}, "name"), (raw_config(listen=4), {}, "listen"),
+    (raw_config(listen="nowhere"), {}, "listen"), (raw_config(discovery="h:99999"), {}, "discovery"),
+    (raw_config(distributor={}), {}, "address"), (raw_config(distributor={"address": "x"}), {}, "distributor.address"),
+    (raw_config(seed="xyz"), {}, "seed"), (raw_config(settings=None), {}, "settings"),
+    (raw_config(settings=SETTINGS | {"requestClasses": []}), {}, "requestClasses"),
+    (raw_config(settings=SETTINGS | {"familyInfo": {"keyRanges": "8"}}), {}, "keyRanges"),
+    (raw_config(limits={"sockets": 10}), {}, "sockets"), (raw_config(limits={"memory_mb": True}), {}, "memory_mb"),
+    (raw_config(), {"ROUTER_LISTEN": "127.0.0.2:1"}, "listen"), (raw_config(), {"ROUTER_NAME": "n2"}, "name")])
+def test_what_is_wrong_is_named(tmp_path, raw, environ, key):
+    with pytest.raises(ConfigError, match=key):
+        load({"ROUTER_CONFIG": written(tmp_path, raw), **environ})
+
+
+@pytest.mark.parametrize("environ", [{}, {"ROUTER_CONFIG": "/nonexistent/config.json"}])
+def test_a_missing_configuration_ends_with_a_line_and_status_2(environ):
+    done = subprocess.run([sys.executable, "-m", "havendyke"], env={"PATH": os.environ["PATH"], **environ},
+                          capture_output=True, text=True)
+    assert done.returncode == 2 and "ROUTER_CONFIG" in done.stderr and done.stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize("sockets", [48, 128, 1024, 65536])
+def test_sizes_follow_the_limits_with_room(tmp_path, sockets):
+    config = load({"ROUTER_CONFIG": written(tmp_path, raw_config(limits={"sockets": sockets, "memory_mb": 64}))})
+    limits = config.limits
+    assert limits.slots < sockets - 12 and 4 < limits.callers < limits.slots and limits.buffers <= 16e6
+    assert config.relay == ("127.0.0.1", 6400) and config.seed == 0x8c1f and config.words["classes"][1] == "write"
+
+
+def test_deadlines_come_in_order_and_dropped_ones_do_not_pile_up():
+    deadlines, rung = Deadlines(), []
+    for at in (30, 10, 20, 10):
+        deadlines.add(at, lambda at=at: rung.append(at))
+    deadlines.drop(deadlines.add(5, lambda: rung.append("dropped")))
+    for _ in range(1000):
+        deadlines.drop(deadlines.add(99, print))
+    assert len(deadlines.heap) < 200 and deadlines.first() == 10
+    for call in deadlines.due(20):
+        call()
+    assert rung == [10, 10, 20] and deadlines.first() == 30
+
+
+def test_a_full_table_says_so_and_numbers_come_again():
+    slots = Slots(2)
+    assert [slots.take("a"), slots.take("b"), slots.take("c")] == [0, 1, None]
+    slots.leave(0)
+    slots.leave(0)
+    assert len(slots) == 1 and slots.take("c") == 0 and list(slots) == ["c", "b"]
+
+
+def test_waits_double_up_to_their_most():
+    again = Backoff(50.0, Limits.again_most)
+    assert [again.next() for _ in range(5)] == [50.0, 100.0, 200.0, 400.0, 500.0]
+    again.reset()
+    assert again.next() == 50.0
+
+
+def test_it_answers_with_nobody_there_prints_counters_and_ends_on_sigterm(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    raw = raw_config(listen=f"127.0.0.1:{port}", discovery="127.0.0.1:1", distributor={"address": "127.0.0.1:1"})
+    process = subprocess.Popen([sys.executable, "-m", "havendyke", "--config", written(tmp_path, raw)],
+                               stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    try:
+        for line in process.stderr:
+            if b'"listening"' in line:
+                break
+        with socket.create_connection(("127.0.0.1", port), timeout=10) as asking:
+            asking.sendall(encode("PING"))
+            assert asking.recv(100) == encode("PONG")
+            process.send_signal(signal.SIGUSR1)
+            assert json.loads(process.stdout.readline())["pings"] == 1
+            process.send_signal(signal.SIGTERM)
+            out, _ = process.communicate(timeout=10)
+        assert process.returncode == 0 and json.loads(out)["event"] == "counters"
+    finally:
+        process.kill()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,10 +1,14 @@
 """The state machines of the front on sockets, by what comes in and goes out; no socket is opened."""
+import asyncio
+import time
+
 import orjson
 import pytest
 from helpers import feed, front, listed, whole_list
 
 from havendyke import interface as core
-from havendyke.net.hub import Connection
+from havendyke.config import Limits
+from havendyke.net.hub import Connection, Hub
 from havendyke.net.resp import encode
 
 SUB = {"method": "SUBSCRIBE", "params": {"sidecar": 1, "az": "a", "share": 2.0, "standing": True}}
@@ -475,3 +479,35 @@
     before = hub.counters["turns"]
     hub.pass_time(800)
     assert hub.counters["turns"] > before
+
+
+def test_after_a_standstill_what_came_in_goes_before_the_deadlines():
+    # Standing still again and again, it took servers for dead that had answered meanwhile.
+    class Peer:
+        name, ends = "probes", None
+
+        def opened(self, connection):
+            self.ends = "up"
+
+        def closed(self, connection, why):
+            self.ends = self.ends or why
+
+    async def stand_still():
+        server = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
+        hub, peer = Hub(Limits(), lambda *a, **k: None, {}), Peer()
+        hub.connect(server.sockets[0].getsockname(), peer, 50.0)
+        await asyncio.sleep(0)
+        time.sleep(0.3)
+        while peer.ends is None:
+            await asyncio.sleep(0.01)
+        return peer.ends
+
+    assert asyncio.run(stand_still()) == "up"
+
+
+def test_a_message_over_the_limit_ends_its_connection_only():
+    assigner, hub = front(message=4096, buffer=64)
+    bad, good = caller(quiet(assigner), hub), caller(assigner, hub)
+    feed(bad, b"*2\r\n$3000\r\n" + b"x" * 3000 + b"\r\n$2000\r\n" + b"x" * 2000)
+    feed(good, encode("PING"))
+    assert bad.over and good.transport.written and hub.counters["bad_messages"] == 1
