Calls without lines: an answered mark proves them; newer orders take them along

At fault: look() repeated them with the pause of a refused connection. Now a mark's answer proves the call, newer orders take its few along in one message, and else it is said again after 0.7 to 2.8 s.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -36,6 +36,7 @@
     again_most: float = 500.0      # and at most, for all that is tried again
     look: float = 500.0            # until a look at what stands must have come
     late_row: float = 1000.0       # after its grant, a line that comes late still belongs to it
+    mark_answer: float = 700.0     # a mark that was carried out is answered by somebody within this, as a rule
     news_streams: int = 2          # connections that carry the relay's news
     news_silence: float = 2300.0   # two pings missed
     news_settle: float = 60.0      # news of a slice waits so long for its lines
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -144,11 +144,12 @@
 
 
 class News:
-    def __init__(self, hub, address, messages, tell, touched, overtaken):
+    def __init__(self, hub, address, messages, tell, touched, overtaken, heard):
         """`tell(event)` takes events; `touched(slice, since)` says whether a call of ours may have changed its
-        lines since then; `overtaken(slice)` hears that orders which wait for it are of the past."""
+        lines since then; `overtaken(slice)` hears that orders which wait for it are of the past,
+        `heard(mark)` that a proxy answered."""
         self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
-        self.touched, self.overtaken = touched, overtaken
+        self.touched, self.overtaken, self.heard = touched, overtaken, heard
         self.streams, self.looks, self.serial = [], [], 0
         self.proxies, self.slices, self.acks = {}, {}, {}  # as told
         self.store = {}                                    # the given slices' lines, as far as known
@@ -160,7 +161,8 @@
         return self.serial
 
     def start(self):
-        while len(self.streams) < self.hub.limits.news_streams:
+        # One until something stands: a relay that is away counts each try until it is back.
+        while len(self.streams) < (self.hub.limits.news_streams if self.known() else 1):
             stream = Stream(self)
             if stream.connection is None:
                 self.hub.after(self.again.next(), self.start)
@@ -173,7 +175,8 @@
         self.glance()
 
     def glance(self):
-        if self.looks and Stream(self, look=True).connection is None:
+        # With no news at all the next that comes will do.
+        if self.looks and self.known() and Stream(self, look=True).connection is None:
             self.hub.after(self.again.next(), self.glance)
 
     def seen(self, stream, rows):
@@ -261,6 +264,7 @@
                 self.give(piece, max(mine, told), lines)
         if stream.first:
             self.again.reset()
+            self.start()
             self.hub.log("news", streams=len(self.known()), proxies=sum(c & 1 for c in stream.proxies.values()),
                          slices=len(rows))
 
@@ -283,3 +287,4 @@
         if self.acks.get(proxy) != (self.proxies.get(proxy), version):
             self.acks[proxy] = (self.proxies.get(proxy), version)
             self.tell(core.Answered(self.messages.door.proxy(proxy), version, lag))
+            self.heard(version)
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -14,13 +14,14 @@
 
     def __init__(self, hub, address, messages, tell):
         self.hub, self.address, self.limits = hub, address, hub.limits
-        self.news = News(hub, address, messages, tell, self.touched, self.overtaken)
+        self.news = News(hub, address, messages, tell, self.touched, self.overtaken, self.heard)
         self.tell, self.touched_at = tell, {}
         self.waiting = {}                   # orders by key, oldest first
         self.connection, self.lines, self.idle = None, None, None
         self.sent, self.number, self.deadline = None, 0, None  # orders of the call under way
         self.sent_at, self.again = -1e9, Backoff(hub.limits.call_again, hub.limits.again_most)
         self.doubt, self.paused, self.away, self.few = None, None, None, None
+        self.proof, self.unproven = None, Backoff(hub.limits.mark_answer, 4 * hub.limits.mark_answer)
 
     def touched(self, piece, since) -> bool:
         """Whether a call may have changed a slice's lines since then."""
@@ -55,6 +56,8 @@
     def order(self, orders):
         for key, order in orders:
             self.put(key, order)
+        if self.proof is not None:
+            self.settle(False)  # what waits for a proof goes along: a message more costs more than its few orders
         self.next()
 
     def next(self):
@@ -145,6 +148,7 @@
 
     def answered(self, taken):
         self.again.reset()
+        self.unproven.reset()
         orders, self.few = list(self.end("answered").items()), None
         self.carried(orders[:taken])
         if taken < len(orders):
@@ -196,17 +200,20 @@
         """The call was carried out whole or not at all: the store's lines tell which."""
         self.doubt = self.end("unknown")
         self.hub.log("call_unknown", why=why, orders=len(self.doubt))
-        self.absent(why)
+        if any(key[0] in ("line", "clear") for key in self.doubt):
+            self.absent(why)
         # It may be carried out for as long as it could have been answered.
         self.hub.after(max(0.0, self.sent_at + self.limits.call_answer - self.hub.now()), self.look)
 
     def look(self):
+        if self.doubt is None:
+            return
         if any(self.changed()):
             self.news.ask(self.judge)
         else:
-            # No line tells; what is left is short, and the same again does no harm.
-            self.settle(False)
-            self.pause("unknown")
+            # No line tells, but an answered mark would. The same again does no harm to tables; said in quick
+            # succession and carried out each time, its messages would fill the channel.
+            self.proof = self.hub.after(self.unproven.next(), lambda: self.judge({}))
 
     def changed(self):
         """The tables that the call in doubt changes, with their lines if it was carried out."""
@@ -216,7 +223,16 @@
             self.lay(expected, key, order)
         return {t: lines for t, lines in expected.items() if not alike(lines, self.news.store[t])}
 
+    def heard(self, mark):
+        """A proxy has answered a mark: the call that brought it was carried out."""
+        if self.doubt and self.doubt.get(("mark",), {}).get("nonce_out") == mark:
+            self.hub.log("call_proven", mark=mark)
+            self.settle(True)
+            self.next()
+
     def judge(self, rows):
+        if self.doubt is None:
+            return
         seen = [alike(lines, rows[t]) for t, lines in self.changed().items() if t in rows]
         self.hub.log("call_judged", carried=sum(seen), tables=len(seen))
         self.settle(bool(seen) and all(seen))
@@ -224,6 +240,8 @@
 
     def settle(self, carried):
         orders, self.doubt = self.doubt, None
+        self.hub.drop(self.proof)
+        self.proof = None
         self.hub.count("relay_found_carried" if carried else "relay_again")
         if carried:
             self.carried(orders.items())
