A failed decision loses no other event, and what it believed to have ordered is renewed

Read from the code, not seen: a turn that failed dropped the rest of its events, and lines that emit() had already taken as present were never sent. Each event is now told again by itself, then the store's lines are told where the decisions believe others. Counters: orders by kind, open connections by peer.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -23,8 +23,10 @@
 
     def end():
         # Nothing is worth waiting for: what is on its way stands by itself, the rest is the next start's.
-        show()
-        os._exit(0)
+        try:
+            show()
+        finally:
+            os._exit(0)
 
     loop.add_signal_handler(signal.SIGUSR1, show)
     for name in (signal.SIGTERM, signal.SIGINT):
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -3,6 +3,7 @@
 import os
 import resource
 import time
+from collections import Counter
 
 from .. import interface as core
 from ..config import Config
@@ -45,21 +46,34 @@
         events, began = self.door.inbox, self.hub.now()
         for event in events:
             self.hub.count(f"events_{type(event).__name__}")
-        try:
-            orders = self.door.turn(began)
-        except Exception as error:
-            self.hub.count("failed_turns")
-            self.hub.log("decision_failed", cause=f"{type(error).__name__}: {error}",
-                         at_line=error.__traceback__.tb_next and where(error), events=len(events))
-            # Its reminders must ring on, or it would never look again without news.
-            orders = [core.Timer(e.tag, self.hub.limits.turn_again) for e in events
-                      if type(e) is core.Reminder]
+        orders = self.decide(began)
+        if orders is None:
+            # One event must not take the others with it: each is told again by itself.
+            orders = []
+            for event in events if len(events) > 1 else ():
+                self.door.inbox = [event]
+                orders += self.decide(began) or []
+            # Its reminders must ring on, or it would never look again without news; and what it believed to
+            # have ordered may never have left.
+            orders += [core.Timer(e.tag, self.hub.limits.turn_again) for e in events if type(e) is core.Reminder]
+            self.relay.renew()
         self.carry_out(orders)
         self.hub.count("turns")
         took = self.hub.now() - began
         self.hub.counters["turn_longest_ms"] = max(self.hub.counters.get("turn_longest_ms", 0.0), round(took, 2))
         self.hub.counters["turn_total_ms"] = round(self.hub.counters.get("turn_total_ms", 0.0) + took, 2)
 
+    def decide(self, now):
+        """The orders of a turn, or None where it failed."""
+        events = len(self.door.inbox)
+        try:
+            return self.door.turn(now)
+        except Exception as error:
+            self.hub.count("failed_turns")
+            self.hub.log("decision_failed", cause=f"{type(error).__name__}: {error}", at_line=where(error),
+                         events=events)
+            return None
+
     def carry_out(self, orders):
         calls = []
         for order in orders:
@@ -71,6 +85,7 @@
                 self.hub.log("note", text=order.text)
             elif (made := self.messages.order(order)) is not None:
                 calls.append(made)
+                self.hub.count(f"orders_{type(order).__name__}")
             elif type(order) is not core.Follow:  # discovery is always followed
                 self.hub.count("orders_without_form")
                 self.hub.log("order_without_form", order=type(order).__name__)
@@ -80,10 +95,8 @@
 
     def counters(self) -> dict:
         used = resource.getrusage(resource.RUSAGE_SELF)
-        with open("/proc/self/statm") as file:
-            pages = int(file.read().split()[1])
-        return {**self.hub.counters, "memory_mb": round(pages * resource.getpagesize() / 2**20, 1),
-                "memory_most_mb": round(used.ru_maxrss / 1024, 1),
+        peers = Counter(f"open_{connection.peer.name}" for connection in self.hub.slots)
+        return {**self.hub.counters, **peers, "memory_most_mb": round(used.ru_maxrss / 1024, 1),
                 "descriptors": len(os.listdir("/proc/self/fd")), "log_dropped": self.hub.log.dropped,
                 "cpu_s": round(used.ru_utime + used.ru_stime, 3), "slots": len(self.hub.slots),
                 "slots_most": self.hub.slots.most, "collections": sum(g["collections"] for g in gc.get_stats()),
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -35,6 +35,14 @@
             for key in [k for k in orders if k[0] in ("line", "clear") and k[1] == piece]:
                 del orders[key]
 
+    def renew(self):
+        """Tells the store's lines again where the decisions believe others and no order of ours explains it."""
+        waiting = {key[1] for key in self.waiting if key[0] in ("line", "clear")}
+        for piece, lines in list(self.news.store.items()):
+            believed = {s.id: w for s, w in self.news.messages.door.slice(piece).present.items()}
+            if not alike(believed, lines) and piece not in waiting and not self.touched(piece, self.hub.now()):
+                self.news.give(piece, self.news.slices[piece], lines)
+
     def put(self, key, order):
         """An order that waits gives way to a newer one for the same thing."""
         if key[0] == "clear":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -501,6 +501,7 @@
     assert hub.counters["failed_turns"] == 1
     assert "ZeroDivisionError" in [more["cause"] for event, more in hub.logged if event == "decision_failed"][0]
     assigner.door.controller.turn = turn
+    assert assigner.door.controller.turn(hub.now(), []) is not None
     before = hub.counters["turns"]
     hub.pass_time(800)
     assert hub.counters["turns"] > before
@@ -536,3 +537,23 @@
     feed(bad, b"*2\r\n$3000\r\n" + b"x" * 3000 + b"\r\n$2000\r\n" + b"x" * 2000)
     feed(good, encode("PING"))
     assert bad.over and good.transport.written and hub.counters["bad_messages"] == 1
+
+
+def test_a_failed_decision_loses_no_other_event_and_what_it_believed_is_renewed():
+    assigner, hub = front()
+    standing(assigner, hub, GRANT, ROW)
+    hub.run()
+    piece, server = assigner.door.slices[4], assigner.door.servers["s2"]
+    feed(hub.open("relay"), [{"id": sent(hub.open("relay"))[1], "result": {"taken": 99}}])
+    hub.pass_time(1500)
+
+    def fails(controller, event):
+        piece.present = {server: 1.0}  # as if the order had been made, and lost
+        raise RuntimeError("one event")
+
+    takes = assigner.door.controller.TAKES
+    assigner.door.controller.TAKES = takes | {core.Answered: fails}
+    feed(hub.open("news"), [ACK, SUB])
+    hub.run()
+    assert hub.counters["failed_turns"] == 2 and assigner.door.proxies[1].joined
+    assert assigner.relay.news.store[4].keys() == {s.id for s in piece.present}
