Strangers that come in one batch are kept within the limit; a configuration can be checked

Seen with 300 connections at once that said nothing: all 300 were let in over a limit of 256, for callers were counted only once they were up, after the loop had accepted its whole backlog.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -11,10 +11,15 @@
 from .net.log import Log, counted
 
 
-async def serve(config):
+async def serve(config, check=False):
     counters = {}
     hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines), counters)
-    assigner, over = Assigner(config, hub), asyncio.Event()
+    try:
+        assigner, over = Assigner(config, hub), asyncio.Event()
+    except ValueError as error:
+        raise ConfigError(f"the configuration cannot be started with: {error}") from None
+    if check:
+        return
     loop = asyncio.get_running_loop()
 
     def show():
@@ -52,13 +57,11 @@
     given = parser.parse_args(arguments)
     try:
         config = load(os.environ, given.config)
+        asyncio.run(serve(config, given.check))
     except ConfigError as error:
         print(f"havendyke: {error}", file=sys.stderr)
         return 2
-    if given.check:
-        print(f"havendyke: the configuration of {config.name} is well")
-        return 0
-    asyncio.run(serve(config))
+    print(f"havendyke: the configuration of {config.name} is well")
     return 0
 
 
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -116,7 +116,8 @@
     slots = min(Limits.slots, sockets - min(Limits.socket_reserve, sockets // 3))
     return Limits(memory_mb=memory, sockets=sockets, slots=slots,
                   buffers=memory * 0.25e6,
-                  callers=min(Limits.callers, slots // 2), probes_open=min(Limits.probes_open, slots // 4),
+                  callers=min(Limits.callers, slots // 2), backlog=min(Limits.backlog, slots // 4),
+                  probes_open=min(Limits.probes_open, slots // 4),
                   probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect))
 
 
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -17,9 +17,7 @@
         self.patience = None  # the deadline of a stranger
 
     def opened(self, connection):
-        self.connection = connection
         self.parser = Resp(connection.buffer, self.hub.limits.message)
-        self.collectors.callers.append(self)
         self.patience = self.hub.after(self.hub.limits.stranger, lambda: self.connection.close("stranger"))
 
     def received(self, connection):
@@ -62,4 +60,9 @@
             # Strangers first, then whoever was silent longest: half-open ones must not keep collectors out.
             last = min(self.callers, key=lambda c: (c.zone is not None, c.connection.heard_at))
             last.connection.close("crowded")
-        return self.hub.accept(Caller(self))
+        made = Caller(self)
+        made.connection = self.hub.accept(made)
+        if not made.connection.over:
+            # Counted from here on: the loop accepts many before the first of them is up.
+            self.callers.append(made)
+        return made.connection
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,8 +6,9 @@
 import sys
 
 import pytest
-from helpers import SETTINGS, raw_config
+from helpers import SETTINGS, raw_config, whole_list
 
+from havendyke.__main__ import main
 from havendyke.config import ConfigError, Limits, load
 from havendyke.net.deadlines import Backoff, Deadlines
 from havendyke.net.resp import encode
@@ -41,6 +42,14 @@
     assert done.returncode == 2 and "ROUTER_CONFIG" in done.stderr and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize("raw, said, status", [
+    (raw_config(known=whole_list("s1")), "well", 0), (raw_config(known={"rev": 1, "all": True}), "targets", 2),
+    (raw_config(known={"rev": 1, "all": True, "targets": [{"uid": "s1", "state": "odd"}]}), "state", 2)])
+def test_a_configuration_can_be_checked_without_starting(tmp_path, capsys, raw, said, status):
+    assert main(["--check", "--config", written(tmp_path, raw)]) == status
+    assert said in "".join(capsys.readouterr())
+
+
 @pytest.mark.parametrize("sockets", [48, 128, 1024, 65536])
 def test_sizes_follow_the_limits_with_room(tmp_path, sockets):
     config = load({"ROUTER_CONFIG": written(tmp_path, raw_config(limits={"sockets": sockets, "memory_mb": 64}))})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -433,6 +433,17 @@
     assert all(s.over for s in strangers) and not collector.over
 
 
+def test_many_strangers_at_once_are_kept_within_the_limit():
+    # The loop accepts a whole backlog before the first of them is up: all were let in.
+    assigner, hub = front(callers=8, slots=100)
+    made = [assigner.collectors.caller() for _ in range(50)]
+    for connection in made:
+        connection.connection_made(NoTransport())
+    assert len(hub.slots) == 8 and len(assigner.collectors.callers) == 8
+    feed(made[-1], encode("PING"))
+    assert made[-1].transport.written
+
+
 def test_a_full_table_turns_newcomers_away():
     assigner, hub = front(slots=1)
     caller(quiet(assigner), hub)
