--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -50,7 +50,7 @@
 class Probes:
     def __init__(self, hub, messages, tell, path):
         self.hub, self.messages, self.tell, self.path = hub, messages, tell, path
-        self.open = 0
+        self.open, self.last = 0, {}
 
     def ask(self, server):
         host, _, port = self.messages.endpoints.get(server, "").rpartition(":")
@@ -67,7 +67,8 @@
     def done(self, probe, outcome, load, why):
         self.open -= 1
         self.hub.count(f"probes_{outcome}")
-        if outcome != "answered":
+        if outcome != self.last.get(probe.server, "answered"):
             self.hub.log("probe", server=probe.server.id, outcome=outcome, why=why,
-                         body=text(probe.body)[:100], ms=round(self.hub.now() - probe.began, 1))
+                         ms=round(self.hub.now() - probe.began, 1))
+        self.last[probe.server] = outcome
         self.tell(core.Probed(probe.server, outcome, self.hub.now() - probe.began, load))
