Bytes that never make a message are silence; servers without a usable address are not probed

Read from PROTOCOL (a stream may go on with what cannot be read): the silence deadline of news and watches was put off by any byte. Now by messages and chunks only. Names as endpoints would have been looked up in a thread.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -9,7 +9,7 @@
 PREFIX = "ROUTER_"
 
 
-class ConfigError(Exception):
+class ConfigError(ValueError):
     """The configuration cannot be used; the text names the key and what was expected."""
 
 
@@ -29,8 +29,8 @@
     connect: float = 250.0         # until a connection must be up
     # Strangers that name no zone are closed after this, or, with all slots taken, the oldest of them at once.
     stranger: float = 8000.0
-    call_bytes: int = 60_000       # of orders in one relay call
-    call_answer: float = 80.0      # the relay answers within 50 ms or never
+    call_bytes: int = 59_000       # of orders in one relay call, under its 60,000
+    call_answer: float = 100.0     # the relay answers within 50 ms or never
     call_idle: float = 1500.0      # our end goes before the relay's does under a call
     call_again: float = 50.0       # between tries while the relay is away or turns calls away, at first
     again_most: float = 500.0      # and at most, for all that is tried again
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -34,8 +34,8 @@
         connection.write(query(path, self.discovery.address, "" if self.follow else "Connection: close\r\n"))
 
     def received(self, connection):
-        self.listen()
         while (part := self.answer.next()) is not None:
+            self.listen()  # bytes that never make a chunk are silence too
             if self.answer.status != 200:
                 raise FieldError(f"status {self.answer.status}")
             self.body.add(part)
--- a/havendyke/net/hub.py
+++ b/havendyke/net/hub.py
@@ -157,7 +157,7 @@
             await self.loop.create_connection(lambda: made, *address)
         except ConnectionRefusedError:
             made.close("refused")
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             made.close("reset" if isinstance(error, ConnectionResetError) else "unreachable")
 
     def accept(self, peer):
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -39,10 +39,13 @@
         self.silence = self.hub.after(wait, lambda: self.connection.close("silent"))
 
     def received(self, connection):
+        told = False
         while (line := self.lines.next()) is not None:
             if line:
                 self.take(value(line))
-        if not self.look:
+                told = True
+        # Bytes that never make a message are silence too.
+        if told and not self.look:
             self.listen()
 
     def closed(self, connection, why):
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -1,5 +1,8 @@
 """Questions to servers whether they are well; no connection outlives its question."""
+from ipaddress import ip_address
+
 from .. import interface as core
+from ..config import address
 from .http import DONE, REST, Answer, query
 from .messages import read_load, text
 
@@ -53,12 +56,16 @@
         self.open, self.last = 0, {}
 
     def ask(self, server):
-        host, _, port = self.messages.endpoints.get(server, "").rpartition(":")
-        if not host or not port.isdigit() or self.open >= self.hub.limits.probes_open:
+        try:
+            end = address(self.messages.endpoints.get(server, ""), "endpoint")
+            ip_address(end[0])  # a name would be looked up somewhere, and there is nobody to ask
+        except ValueError:
+            end = None
+        if end is None or self.open >= self.hub.limits.probes_open:
             self.hub.count("probes_left_out")
             return
         self.open += 1
-        probe = Probe(self, server, (host.strip("[]"), int(port)))
+        probe = Probe(self, server, end)
         if probe.connection is None:
             self.hub.drop(probe.overdue)
             self.open -= 1
