--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -164,6 +164,10 @@
             self.hub.count("relay_short")
             self.hub.log("order_refused", order=orders[taken][1])
             self.put_back(orders[taken + 1:])
+            piece = orders[taken][0][1] if orders[taken][0][0] == "line" else None
+            if piece in self.news.store:
+                # The decisions take the line for laid; told what the store has, they choose anew.
+                self.news.give(piece, self.news.slices[piece], self.news.store[piece])
         self.rest()
         self.next()
 
@@ -177,6 +181,8 @@
             self.few = len(orders) // 2 or None
             orders = orders if self.few else {}
         self.put_back(orders)
+        # It is there and answers at once: no reason to come ever later.
+        self.again.reset()
         self.pause(str(code)[:60])
 
     def carried(self, orders):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -76,6 +76,16 @@
     assert hub.counters.get("relay_short", 0) == refused
 
 
+def test_a_line_that_the_relay_cannot_use_is_not_taken_for_laid():
+    assigner, hub = front()
+    standing(quiet(assigner), hub, GRANT, ROW)
+    told(assigner)
+    call = under_way(hub, assigner, line(4, "s2"), line(4, "s1", 0.0), line(5, "s1"))
+    feed(call, [{"id": sent(call)[1], "result": {"taken": 0}}])
+    assert [(type(e).__name__, e.slice.id) for e in told(assigner)] == [("Custody", 4), ("Stored", 4)]
+    assert [o["table"] for o in sent(call)[0][-1]] == [5]
+
+
 def test_calls_that_are_turned_away_wait_and_decisions_are_told_once():
     assigner, hub = front(again_most=50.0)
     call = under_way(hub, quiet(assigner), line(1, "s1"))
