A failed decision leaves one chain of reminders; a look belongs to its own call

Found by reading: after a failed turn a reminder that was told again by itself ordered its successor, and the front ordered another: two chains of looks for good. A first turn that failed left none. A look that came back after a newer call had become unknown was taken for its. Discovery counts as back with its first sign of life.

--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -193,7 +193,7 @@
 
 @dataclass(slots=True)
 class Timer:
-    tag: int
+    tag: int                   # 0: for a look without news, which orders the next
     after: float
 
 
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -14,6 +14,8 @@
 from .probes import Probes
 from .relay import Relay
 
+LOOK = 0  # the tag of the reminder for a look without news, as `interface.py` has it
+
 
 class Assigner:
     def __init__(self, config: Config, hub):
@@ -27,7 +29,7 @@
         self.discovery = Discovery(hub, config.discovery, self.messages, self.tell, version)
         self.collectors = Collectors(hub, self.messages, self.tell)
         self.probes = Probes(hub, self.messages, self.tell, "/stats" if config.words["reports"] else "/health/live")
-        self.due = False
+        self.due, self.ringing = False, 0
 
     def start(self):
         self.turn()
@@ -47,22 +49,37 @@
         for event in events:
             self.hub.count(f"events_{type(event).__name__}")
         orders = self.decide(began)
-        if orders is None:
-            # One event must not take the others with it: each is told again by itself.
-            orders = []
-            for event in events if len(events) > 1 else ():
-                self.door.inbox = [event]
-                orders += self.decide(began) or []
-            # Its reminders must ring on, or it would never look again without news; and what it believed to
-            # have ordered may never have left.
-            orders += [core.Timer(e.tag, self.hub.limits.turn_again) for e in events if type(e) is core.Reminder]
-            self.relay.renew()
-        self.carry_out(orders)
+        if orders is not None:
+            self.carry_out(orders)
+        else:
+            self.recover(events, began)
         self.hub.count("turns")
         took = self.hub.now() - began
         self.hub.counters["turn_longest_ms"] = max(self.hub.counters.get("turn_longest_ms", 0.0), round(took, 2))
         self.hub.counters["turn_total_ms"] = round(self.hub.counters.get("turn_total_ms", 0.0) + took, 2)
 
+    def recover(self, events, now):
+        """After a failed turn: one event must not take the others with it, so each is told again by itself."""
+        failed = events if len(events) < 2 else []
+        for event in events if len(events) > 1 else ():
+            self.door.inbox = [event]
+            orders = self.decide(now)
+            if orders is None:
+                failed.append(event)
+            else:
+                self.carry_out(orders)
+        # Its reminders must ring on, or it would never look again without news.
+        tags = [event.tag for event in failed if type(event) is core.Reminder]
+        if not tags and not self.ringing:
+            tags = [LOOK]
+        self.carry_out([core.Timer(tag, self.hub.limits.turn_again) for tag in tags])
+        # What it believed to have ordered may never have left.
+        self.relay.renew()
+
+    def ring(self, tag):
+        self.ringing -= 1
+        self.tell(core.Reminder(tag))
+
     def decide(self, now):
         """The orders of a turn, or None where it failed."""
         events = len(self.door.inbox)
@@ -78,7 +95,8 @@
         calls = []
         for order in orders:
             if type(order) is core.Timer:
-                self.hub.after(order.after, lambda tag=order.tag: self.tell(core.Reminder(tag)))
+                self.ringing += 1
+                self.hub.after(order.after, lambda tag=order.tag: self.ring(tag))
             elif type(order) is core.Probe:
                 self.probes.ask(order.server)
             elif type(order) is core.Note:
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -38,6 +38,7 @@
             self.listen()  # bytes that never make a chunk are silence too
             if self.answer.status != 200:
                 raise FieldError(f"status {self.answer.status}")
+            self.discovery.heard()
             self.body.add(part)
             while self.follow and (line := self.lines.next()) is not None:
                 if line:
@@ -94,6 +95,8 @@
             self.tell(event)
         else:
             self.hub.count("list_known")
+
+    def heard(self):
         if self.away:
             self.away = False
             self.hub.log("discovery_back")
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -129,7 +129,7 @@
         self.connection.write(call(self.number, "relay.apply", list(self.sent.values())))
 
     def received(self, connection):
-        while (line := self.lines.next()) is not None:
+        while self.lines is not None and (line := self.lines.next()) is not None:
             if line:
                 self.answer(value(line))
 
@@ -217,17 +217,18 @@
         if any(key[0] in ("line", "clear") for key in self.doubt):
             self.absent(why)
         # It may be carried out for as long as it could have been answered.
-        self.hub.after(max(0.0, self.sent_at + self.limits.call_answer - self.hub.now()), self.look)
+        self.hub.after(max(0.0, self.sent_at + self.limits.call_answer - self.hub.now()),
+                       lambda doubt=self.doubt: self.look(doubt))
 
-    def look(self):
-        if self.doubt is None:
+    def look(self, doubt):
+        if doubt is not self.doubt:
             return
-        if any(self.changed()):
-            self.news.ask(self.judge)
+        if self.changed():
+            self.news.ask(lambda rows: self.judge(doubt, rows))
         else:
             # No line tells, but an answered mark would. The same again does no harm to tables; said in quick
             # succession and carried out each time, its messages would fill the channel.
-            self.proof = self.hub.after(self.unproven.next(), lambda: self.judge({}))
+            self.proof = self.hub.after(self.unproven.next(), lambda: self.judge(doubt, {}))
 
     def changed(self):
         """The tables that the call in doubt changes, with their lines if it was carried out."""
@@ -244,9 +245,9 @@
             self.settle(True)
             self.next()
 
-    def judge(self, rows):
-        if self.doubt is None:
-            return
+    def judge(self, doubt, rows):
+        if doubt is not self.doubt:
+            return  # proven meanwhile, or overtaken by a newer one
         seen = [alike(lines, rows[t]) for t, lines in self.changed().items() if t in rows]
         self.hub.log("call_judged", carried=sum(seen), tables=len(seen))
         self.settle(bool(seen) and all(seen))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -525,7 +525,17 @@
     assert assigner.door.controller.turn(hub.now(), []) is not None
     before = hub.counters["turns"]
     hub.pass_time(800)
-    assert hub.counters["turns"] > before
+    assert hub.counters["turns"] > before and assigner.ringing == 1
+
+
+def test_a_failed_first_decision_still_looks_again():
+    assigner, hub = front()
+    assigner.door.controller.booted_at = 0.0  # as after a failure behind the first reminder's order
+    turn, assigner.door.controller.turn = assigner.door.controller.turn, lambda now, events: 1 // 0
+    assigner.turn()
+    assigner.door.controller.turn = turn
+    hub.pass_time(1000)
+    assert hub.counters["turns"] > 3 and assigner.ringing == 1
 
 
 def test_after_a_standstill_what_came_in_goes_before_the_deadlines():
