--- a/havendyke/benchlink/link.py
+++ b/havendyke/benchlink/link.py
@@ -98,8 +98,6 @@
                         "agent": order.proxy.id}
             case core.Follow():
                 out |= {"kind": "SUBSCRIBE", "active": True}
-            case core.Note():
-                out |= {"kind": "PRINT", "message": order.text}
             case _:
                 raise TypeError(f"no wire form for {order!r}")
         return out
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -74,20 +74,19 @@
     zonal = take(family, "classOwnZone", list, [])
     classes = [
         core.OperationClass(
-            quoted=ms(c, "promise"), patience=ms(c, "hardLimit"), credit=take(c, "worth", NUMBER, 1.0),
+            quoted=ms(c, "promise"), patience=ms(c, "hardLimit"),
             repeat=REPEATS.get(c.get("repeat"), "once"), group=take(c, "group", str, "all"),
             window=ms(c, "window", 0.0), own_zone=k < len(zonal) and bool(zonal[k]))
         for k, c in enumerate(take(raw, "requestClasses", list))]
     return core.Settings(
-        classes=classes, controllers=take(raw, "balancers", int, 1),
-        zones=len(take(raw, "localities", list, [None])), zone=take(raw, "zone", int, 0),
+        classes=classes, zones=len(take(raw, "localities", list, [None])),
         slices=take(family, "keyRanges", int, 0), one_owner=take(family, "oneOwner", bool, False),
         lease=ms(family, "lease", 0.0), lingers=ms(family, "lingers", 0.0),
         queue_limit=take(family, "pendingMax", NUMBER, 1e9),
         channel_rate=take(family, "channelRate", NUMBER, 1e9), overhead=take(family, "overhead", NUMBER, 0.0),
         push_delay=ms(family, "pushDelay", 0.0), message_cap=take(family, "updateCap", int, 0),
         message_span=ms(family, "countedOver", 0.0), report_period=ms(family, "interval", 1000.0),
-        drain_grace=ms(duty, "drainGrace", 1000.0), cold=ms(duty, "cold", 0.0),
+        cold=ms(duty, "cold", 0.0),
         cold_from=take(duty, "coldFrom", NUMBER, 1.0), overload=take(duty, "overloadFactor", NUMBER, 1e9),
         ask=raw.get("registryMode") == "ask", ask_within=ms(duty, "askWithin", 0.0),
         probes=take(limits, "probes", bool, False), levels=take(family, "throttleBy", str, "none"),
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -13,7 +13,6 @@
     """A class of operations as the settings state it."""
     quoted: float              # the quoted time: an answer within it earns the full credit
     patience: float            # when the client gives up
-    credit: float = 1.0
     repeat: str = "once"       # "safe", "keyed" or "once"
     group: str = "all"         # keyed: which servers drop a repeat: "all", "zone" or "cell"
     window: float = 0.0        # keyed: for how long they drop it
@@ -24,9 +23,7 @@
 class Settings:
     """The settings a controller starts with; a front fills in what its protocol states."""
     classes: list
-    controllers: int = 1       # how many share the slices
     zones: int = 1
-    zone: int = 0
     slices: int = 0            # 0: proxies are bound to tables instead
     one_owner: bool = False
     lease: float = 0.0         # one owner: a proxy still sends writes so long after its stream broke
@@ -38,7 +35,6 @@
     message_cap: int = 0       # messages to one proxy within `message_span`; 0: no limit
     message_span: float = 0.0
     report_period: float = 1000.0
-    drain_grace: float = 1000.0
     cold: float = 0.0          # a started server is warm after this at the latest
     cold_from: float = 1.0     # and has this part of its capacity at first
     overload: float = 1e9      # the multiple of present capacity that fells a cold server
@@ -200,8 +196,3 @@
 @dataclass(slots=True)
 class Follow:
     """Ask for the list's changes."""
-
-
-@dataclass(slots=True)
-class Note:
-    text: str
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -10,6 +10,7 @@
 from ..door import Door
 from .collectors import Collectors
 from .discovery import Discovery
+from .hub import Hub
 from .messages import Messages
 from .probes import Probes
 from .relay import Relay
@@ -18,7 +19,7 @@
 
 
 class Assigner:
-    def __init__(self, config: Config, hub):
+    def __init__(self, config: Config, hub: Hub):
         self.hub, self.door = hub, Door(config.settings, config.seed)
         self.messages = Messages(config, self.door, hub.wall)
         self.relay = Relay(hub, config.relay, self.messages, self.tell)
@@ -36,7 +37,7 @@
         self.relay.news.start()
         self.discovery.start()
 
-    def tell(self, event):
+    def tell(self, event: object):
         """What one look of the loop brings makes one turn."""
         self.door.inbox.append(event)
         if not self.due:
@@ -91,7 +92,7 @@
                          events=events)
             return None
 
-    def carry_out(self, orders):
+    def carry_out(self, orders: list):
         calls = []
         for order in orders:
             if type(order) is core.Timer:
@@ -99,8 +100,6 @@
                 self.hub.after(order.after, lambda tag=order.tag: self.ring(tag))
             elif type(order) is core.Probe:
                 self.probes.ask(order.server)
-            elif type(order) is core.Note:
-                self.hub.log("note", text=order.text)
             elif (made := self.messages.order(order)) is not None:
                 calls.append(made)
                 self.hub.count(f"orders_{type(order).__name__}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,9 +16,9 @@
 def controller(now=100_000.0, **settings):
     defaults = dict(
         classes=[core.OperationClass(1000.0, 3000.0, repeat="safe"),
-                 core.OperationClass(2000.0, 6000.0, credit=3.0, repeat="once")],
+                 core.OperationClass(2000.0, 6000.0, repeat="once")],
         zones=3, slices=8, queue_limit=4000.0, channel_rate=2000.0, overhead=8.0, push_delay=300.0,
-        report_period=1000.0, drain_grace=3000.0, cold=16000.0, cold_from=0.2, overload=3.0, probes=False,
+        report_period=1000.0, cold=16000.0, cold_from=0.2, overload=3.0, probes=False,
         levels="share", sized=True)
     made = rules.Controller(core.Settings(**defaults | settings), 7)
     made.now = made.booted_at = now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -300,7 +300,7 @@
     ("safe", "all", 0.0, True), ("once", "all", 9e9, False), ("keyed", "all", 9000.0, True),
     ("keyed", "all", 500.0, False), ("keyed", "cell", 9000.0, False)])
 def test_a_repeat_is_ordered_only_where_it_cannot_take_effect_twice(repeat, group, window, keen):
-    c = controller(classes=[core.OperationClass(1000.0, 3000.0, 1.0, repeat, group, window)])
+    c = controller(classes=[core.OperationClass(1000.0, 3000.0, repeat, group, window)])
     assert [o.further for o in c.tries()] == [2 if keen else 1]
 
 
