Rows show shares in thousandths: small ones are told as lines all the same, and finer where known

Two faults: after a grant the decisions had lines of weight 0, whose spares they would order with weight 0, which takes them out, and count as there; and a call of unknown end about such lines was taken for not carried out. At fault: alike()'s relative tolerance and rows taken as exact. Now a row within half a step of the known share keeps the known one; one shown as nothing counts as the least line. Too small is the safe side: a spare goes by its owner's weight.

--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -6,9 +6,17 @@
 from .messages import call
 
 
+STEP = 0.001   # a row shows shares in such steps
+SHOWN = 1e-9   # for a line whose share a row has rounded to nothing: it is there, however small
+
+
+def near(share: float, other: float) -> bool:
+    return abs(share - other) <= 0.501 * STEP + 1e-4 * abs(other)
+
+
 def alike(one: dict, other: dict) -> bool:
-    """Whether two tables are the same, but for what a store may round."""
-    return one.keys() == other.keys() and all(abs(w - other[k]) <= 1e-4 * abs(w) for k, w in one.items())
+    """Whether two tables are the same, as far as rows show."""
+    return one.keys() == other.keys() and all(near(w, other[k]) for k, w in one.items())
 
 
 class Stream:
@@ -257,6 +265,7 @@
                 self.settle_proxy(proxy, stream)
         for piece, lines in rows.items():
             told, mine = self.slices.get(piece, 0), stream.slices[piece]
+            lines = self.exact(piece, lines)
             # A second look at what stands tells more only of tables that no call of ours was about to change.
             stale = stream.first and not self.touched(piece, stream.asked_at)
             if mine > told or stale and not alike(lines, self.store.get(piece, {})):
@@ -271,6 +280,13 @@
             self.hub.log("news", streams=len(self.known()), proxies=sum(c & 1 for c in stream.proxies.values()),
                          slices=len(rows))
 
+    def exact(self, piece, lines):
+        """A row's shares, finer where they are known. A line shown as nothing still counts as one: as 0 the
+        decisions would take its slice for covered with a spare that any order of theirs then removes."""
+        known = self.store.get(piece, {})
+        return {host: known[host] if host in known and near(share, known[host]) else max(share, SHOWN)
+                for host, share in lines.items()}
+
     def give(self, piece, count, lines):
         self.overtaken(piece)
         self.slices[piece], self.store[piece] = count, dict(lines)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -168,6 +168,32 @@
     assert [e.yes for e in told(assigner, core.Reached)] == [False, True]
 
 
+def row(host, share):
+    return {"method": "ROW", "params": {"partition": 4, "host": host, "share": share}}
+
+
+def test_rows_that_show_small_shares_as_nothing_are_still_lines():
+    # Rows show thousandths: a spare of a spare's came back as 0, and its slice counted as covered by nothing.
+    assigner, hub = front()
+    standing(quiet(assigner), hub, GRANT, row("s1", 0.02), row("s2", 0.0))
+    first, second = told(assigner, core.Stored)
+    assert first.weight == 0.02 and 0 < second.weight < 0.0004
+
+
+@pytest.mark.parametrize("shown, carried", [([("s1", 0.0), ("s2", 0.0)], True), ([("s1", 0.02)], False)])
+def test_calls_about_small_shares_are_told_by_their_lines(shown, carried):
+    assigner, hub = front()
+    standing(quiet(assigner), hub, GRANT, row("s1", 0.02))
+    under_way(hub, assigner, line(4, "s1", 0.0004), line(4, "s2", 8e-6)).close("reset")
+    hub.pass_time(110)
+    feed(look_of(hub), [TRUE, GRANT] + [row(*r) for r in shown])
+    hub.pass_time(100)
+    assert hub.counters.get("relay_found_carried", 0) == carried
+    told(assigner)
+    standing(assigner, hub, GRANT, *[row(*r) for r in shown])
+    assert told(assigner, core.Stored) == [] and assigner.relay.news.store[4]["s1"] == (0.0004 if carried else 0.02)
+
+
 def test_an_unknown_end_without_lines_is_said_again():
     assigner, hub = front()
     out = (("out", "s1"), {"op": "OUT", "host": "s1"})
