--- a/examples/toy.py
+++ b/examples/toy.py
@@ -49,11 +49,12 @@
 
     @staticmethod
     def chunk(writer, body):
-        writer.write(b"%x\r\n%s\r\n" % (len(body), body))
+        if not writer.is_closing():
+            writer.write(b"%x\r\n%s\r\n" % (len(body), body))
 
     async def until_over(self, reader, group, writer, sign, every):
         try:
-            while not reader.at_eof():
+            while not reader.at_eof() and not writer.is_closing():
                 sign()
                 await writer.drain()
                 await asyncio.sleep(every)
@@ -74,7 +75,8 @@
 
     @staticmethod
     def line(writer, **told):
-        writer.write(json.dumps({"jsonrpc": "2.0", **told}).encode() + b"\n")
+        if not writer.is_closing():
+            writer.write(json.dumps({"jsonrpc": "2.0", **told}).encode() + b"\n")
 
     async def relay(self, reader, writer):
         try:
@@ -154,7 +156,7 @@
                 _, writer = await asyncio.open_connection(host, int(port))
                 self.say("collector: connected")
                 writer.write(self.resp("SOURCE", "az", "a"))
-                while True:
+                while not writer.is_closing():
                     for piece, table in self.store.items():
                         used = [n for n in table if n not in self.shut and self.states[n] != "terminated"]
                         writer.write(self.resp("SHARD", "partition", piece, "kind", "lookup", "n", 10, "bad",
