--- a/examples/toy.py
+++ b/examples/toy.py
@@ -157,13 +157,15 @@
                 self.say("collector: connected")
                 writer.write(self.resp("SOURCE", "az", "a"))
                 while not writer.is_closing():
+                    told = b""
                     for piece, table in self.store.items():
                         used = [n for n in table if n not in self.shut and self.states[n] != "terminated"]
-                        writer.write(self.resp("SHARD", "partition", piece, "kind", "lookup", "n", 10, "bad",
-                                               0 if used else 10, "window", 1000.0))
+                        told += self.resp("SHARD", "partition", piece, "kind", "lookup", "n", 10, "bad",
+                                          0 if used else 10, "window", 1000.0)
                         if used:
-                            writer.write(self.resp("LOAD", "az", "a", "host", max(used, key=table.get), "n", 10, "bad", 0,
-                                                   "avg", 21.5, "window", 1000.0, "report", "queue:0,latency_ms:20.5"))
+                            told += self.resp("LOAD", "az", "a", "host", max(used, key=table.get), "n", 10, "bad", 0,
+                                              "avg", 21.5, "window", 1000.0, "report", "queue:0,latency_ms:20.5")
+                    writer.write(told)
                     await writer.drain()
                     await asyncio.sleep(1.0)
             except OSError:
