SIGHUP reads the file anew; relay and discovery move without a gap

No handler stood in __main__.py, and relay.py, news.py and discovery.py kept the address of the start for good.

Changed: a reload goes through config.py; a bad file is one log line with its key and a counter, the old one goes on. News and watches open at the new address first; the old ones go 500 ms after a new one stands (the end of an account is not marked, a pause in it looks like one). A call under way ends at the old address. The variables of the start are not held against the new file. Until they mean something, SIGHUP, SIGUSR1 and SIGUSR2 are ignored.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -11,7 +11,7 @@
 from .net.log import Log, counted
 
 
-async def serve(config, check=False):
+async def serve(config, path=None, check=False):
     counters = {}
     hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines), counters)
     try:
@@ -33,7 +33,15 @@
         finally:
             os._exit(0)
 
+    def reload():
+        try:
+            assigner.reload(load(os.environ, path, again=True))
+        except ConfigError as error:
+            hub.count("reloads_refused")
+            hub.log("reload_refused", cause=str(error)[:300])
+
     loop.add_signal_handler(signal.SIGUSR1, show)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, end)
     hub.log("start", name=config.name, listen=config.listen, limits=[config.limits.memory_mb, config.limits.sockets])
@@ -55,9 +63,11 @@
     parser.add_argument("--config", help="the configuration's file; ROUTER_CONFIG by default")
     parser.add_argument("--check", action="store_true", help="read and check the configuration, then end")
     given = parser.parse_args(arguments)
+    for name in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2):
+        signal.signal(name, signal.SIG_IGN)  # until they mean something, they must not end the program
     try:
         config = load(os.environ, given.config)
-        asyncio.run(serve(config, given.check))
+        asyncio.run(serve(config, given.config, given.check))
     except ConfigError as error:
         print(f"havendyke: {error}", file=sys.stderr)
         return 2
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -43,6 +43,7 @@
     discovery_streams: int = 2
     discovery_silence: float = 2600.0
     discovery_again: float = 300.0
+    overlap: float = 500.0         # so long streams at an old address go on beside the first that stands at the new
     probe: float = 500.0           # until a probe's answer counts as overdue
     probe_connect: float = 250.0   # the settings' own figure, where they state one
     probes_open: int = 64
@@ -146,7 +147,8 @@
         limits=read_limits(take(raw, "limits", dict, {}), settings))
 
 
-def load(environ: dict, path: str | None = None) -> Config:
+def load(environ: dict, path: str | None = None, again: bool = False) -> Config:
+    """`again`: the file may say otherwise than the variables, which are those of the start."""
     path = path or environ.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is not set: it must name the configuration's file")
@@ -158,6 +160,6 @@
     except ValueError as error:
         raise ConfigError(f"{PREFIX}CONFIG: {path}: not JSON: {error}") from None
     try:
-        return read_config(raw, environ)
+        return read_config(raw, {} if again else environ)
     except FieldError as error:
         raise ConfigError(str(error)) from None
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -21,6 +21,7 @@
 class Assigner:
     def __init__(self, config: Config, hub: Hub):
         self.hub, self.door = hub, Door(config.settings, config.seed)
+        self.started = self.config = config
         self.messages = Messages(config, self.door, hub.wall)
         self.relay = Relay(hub, config.relay, self.messages, self.tell)
         version = -1
@@ -37,6 +38,18 @@
         self.relay.news.start()
         self.discovery.start()
 
+    def reload(self, config: Config):
+        """Takes over what can change while it runs, and says what waits for the next start."""
+        old, self.config = self.config, config
+        if config.relay != old.relay:
+            self.relay.move(config.relay)
+        if config.discovery != old.discovery:
+            self.discovery.move(config.discovery)
+        later = [key for key in ("name", "listen", "settings", "words", "limits")
+                 if getattr(config, key) != getattr(self.started, key)]
+        self.hub.count("reloads")
+        self.hub.log("reloaded", relay=config.relay, discovery=config.discovery, after_restart=later)
+
     def tell(self, event: object):
         """What one look of the loop brings makes one turn."""
         self.door.inbox.append(event)
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -16,7 +16,8 @@
         self.discovery, self.hub, self.follow = discovery, discovery.hub, follow
         self.since, self.first, self.silence = discovery.version, True, None
         self.answer = self.lines = self.body = None
-        self.connection = self.hub.connect(discovery.address, self)
+        self.address, self.sound = discovery.address, False
+        self.connection = self.hub.connect(self.address, self)
         if self.connection is not None:
             self.listen()
 
@@ -31,14 +32,14 @@
         self.body = Buffer(limits.buffer, limits.message)
         self.lines = Lines(self.body, limits.message)
         path = f"{PATH}?follow=1&since={self.since}" if self.follow else PATH
-        connection.write(query(path, self.discovery.address, "" if self.follow else "Connection: close\r\n"))
+        connection.write(query(path, self.address, "" if self.follow else "Connection: close\r\n"))
 
     def received(self, connection):
         while (part := self.answer.next()) is not None:
             self.listen()  # bytes that never make a chunk are silence too
             if self.answer.status != 200:
                 raise FieldError(f"status {self.answer.status}")
-            self.discovery.heard()
+            self.discovery.heard(self)
             self.body.add(part)
             while self.follow and (line := self.lines.next()) is not None:
                 if line:
@@ -70,8 +71,18 @@
         self.ask(False)
         self.watch()
 
+    def move(self, address):
+        """Discovery is at another address from now on; the old watches go once a new one has answered."""
+        self.address = address
+        self.start()
+
+    def let_go(self):
+        if any(q.sound and q.follow for q in self.questions if q.address == self.address):
+            for question in [q for q in self.questions if q.address != self.address]:
+                question.connection.close("moved")
+
     def watch(self):
-        while sum(q.follow for q in self.questions) < self.hub.limits.discovery_streams:
+        while sum(q.follow and q.address == self.address for q in self.questions) < self.hub.limits.discovery_streams:
             if not self.ask(True):
                 return
 
@@ -96,18 +107,21 @@
         else:
             self.hub.count("list_known")
 
-    def heard(self):
+    def heard(self, question):
+        if not question.sound:
+            question.sound = True
+            self.hub.after(self.hub.limits.overlap, self.let_go)
         if self.away:
             self.away = False
             self.hub.log("discovery_back")
 
     def lost(self, question, why):
         self.questions.remove(question)
-        if why != "done" and not self.away:
+        if why != "done" and not self.away and question.address == self.address:
             self.away = True
             self.hub.log("discovery_lost", why=why, follow=question.follow)
         if not question.follow:
-            if why != "done":
+            if why not in ("done", "moved"):
                 self.hub.after(self.hub.limits.discovery_again, lambda: self.ask(False))
         else:
             # Silent ones have waited long enough.
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -31,8 +31,8 @@
         self.sound, self.settled, self.first = False, False, False
         self.proxies, self.slices, self.last = {}, {}, {}
         self.rows, self.granted = {}, {}          # tables whose lines are still coming; when they were granted
-        self.asked_at = self.hub.now()
-        self.connection = self.hub.connect(news.address, self)
+        self.asked_at, self.address = self.hub.now(), news.address
+        self.connection = self.hub.connect(self.address, self)
         if self.connection is not None:
             self.listen()
 
@@ -173,13 +173,28 @@
 
     def start(self):
         # One until something stands: a relay that is away counts each try until it is back.
-        while len(self.streams) < (self.hub.limits.news_streams if self.known() else 1):
+        while len(here := self.here()) < (self.hub.limits.news_streams if any(s.settled for s in here) else 1):
             stream = Stream(self)
             if stream.connection is None:
                 self.hub.after(self.again.next(), self.start)
                 return
             self.streams.append(stream)
 
+    def here(self):
+        return [s for s in self.streams if s.address == self.address]
+
+    def move(self, address):
+        """The relay is at another address from now on. The old streams go once a new one has told what stands:
+        let go before, everybody would be taken for having left."""
+        self.address = address
+        self.again.reset()
+        self.start()
+
+    def let_go(self):
+        if any(s.settled for s in self.here()):
+            for stream in [s for s in self.streams if s.address != self.address]:
+                stream.connection.close("moved")
+
     def ask(self, then):
         """Calls `then(rows)` once with the store's lines, by slice, as they stand from now on."""
         self.looks.append((self.hub.now(), then))
@@ -277,6 +292,8 @@
         if stream.first:
             self.again.reset()
             self.start()
+            # What stands may come with a pause in it, which looks like its end: the old ones bridge that.
+            self.hub.after(self.hub.limits.overlap, self.let_go)
             self.hub.log("news", streams=len(self.known()), proxies=sum(c & 1 for c in stream.proxies.values()),
                          slices=len(rows))
 
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -17,7 +17,7 @@
         self.news = News(hub, address, messages, tell, self.touched, self.overtaken, self.heard)
         self.tell, self.touched_at = tell, {}
         self.waiting = {}                   # orders by key, oldest first
-        self.connection, self.lines, self.idle = None, None, None
+        self.connection, self.lines, self.idle, self.dialled = None, None, None, None
         self.sent, self.number, self.deadline = None, 0, None  # orders of the call under way
         self.sent_at, self.again = -1e9, Backoff(hub.limits.call_again, hub.limits.again_most)
         self.doubt, self.paused, self.away, self.few = None, None, None, None
@@ -69,7 +69,11 @@
         self.next()
 
     def next(self):
-        if self.sent or self.doubt or self.paused:
+        if self.sent:
+            return
+        if self.connection is not None and self.dialled != self.address:
+            self.connection.close("moved")
+        if self.doubt or self.paused:
             return
         if not self.waiting:
             # What waited has gone, or is of the past: the decisions go on from what stands.
@@ -78,12 +82,22 @@
                 self.away = None
                 self.tell(core.Reached(True))
         elif self.connection is None:
+            self.dialled = self.address
             self.connection = self.hub.connect(self.address, self)
             if self.connection is None:
                 self.pause("no_slot")
         elif self.lines is not None:
             self.send()
 
+    def move(self, address):
+        """The relay is at another address from now on; a call under way is left to its end at the old one."""
+        self.address = address
+        self.hub.drop(self.paused)
+        self.paused = None
+        self.again.reset()
+        self.news.move(address)
+        self.next()
+
     def absent(self, why):
         if self.away is None:
             self.hub.log("relay_away", why=why, waiting=len(self.waiting))
@@ -207,7 +221,7 @@
         self.connection = self.lines = None
         if self.sent:
             self.unknown(why)
-        elif why != "idle" and self.waiting:
+        elif why not in ("idle", "moved") and self.waiting:
             self.pause(why)
 
     def unknown(self, why):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,6 +10,7 @@
 from havendyke.net.buffer import Budget
 from havendyke.net.deadlines import Deadlines
 from havendyke.net.hub import Connection, Hub
+from havendyke.net.news import Stream
 from havendyke.net.slots import Slots
 
 
@@ -124,6 +125,7 @@
         made.number = self.slots.take(made)
         if made.number is None:
             return None
+        made.address = address
         self.made.append(made)
         return made
 
@@ -162,3 +164,49 @@
     """An assigner on a hub of the test's own, its discovery and relay not yet up."""
     hub = FakeHub(**{"news_streams": 1} | limits)  # a test opens further ones itself
     return Assigner(config.read_config(raw_config(known=whole_list("s1", "s2", "s3")), {}), hub), hub
+
+
+# Messages of the relay and of discovery, and what comes of them.
+
+SUB = {"method": "SUBSCRIBE", "params": {"sidecar": 1, "az": "a", "share": 2.0, "standing": True}}
+LEFT = {"method": "CLOSED", "params": {"sidecar": 1}}
+ACK = {"method": "ACK", "params": {"sidecar": 1, "version": 7, "lag_ms": 3.0}}
+GRANT = {"method": "GRANT", "params": {"partition": 4, "yes": True}}
+ROW = {"method": "ROW", "params": {"partition": 4, "host": "s1", "share": 1.0}}
+TRUE = {"id": 1, "result": True}
+
+
+def line(piece, server, weight=1.0):
+    return ("line", piece, server), {"op": "SET", "table": piece, "host": server, "share": weight}
+
+
+def told(assigner, *kinds):
+    events = [e for e in assigner.door.inbox if not kinds or isinstance(e, kinds)]
+    assigner.door.inbox = []
+    return events
+
+
+def quiet(assigner):
+    """Turns are left out: what the front tells stays in the inbox."""
+    assigner.due = True
+    return assigner
+
+
+def standing(assigner, hub, *news):
+    """One connection with news, on which this stands."""
+    assigner.relay.news.streams.append(Stream(assigner.relay.news))
+    feed(hub.open("news"), [TRUE, *news])
+    hub.pass_time(100)
+
+
+def sent(connection):
+    """The orders of the calls that went out on a connection, and the last call's number."""
+    calls = [orjson.loads(text) for text in connection.transport.written.splitlines()]
+    return [c["params"]["orders"] for c in calls], calls[-1]["id"]
+
+
+def answer(body, chunked=True):
+    body = orjson.dumps(body) + b"\n"
+    if chunked:
+        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,55 +4,14 @@
 
 import orjson
 import pytest
-from helpers import feed, front, listed, whole_list
+from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE, answer, feed, front, line, listed, quiet, sent, standing, told
+from helpers import whole_list
 
 from havendyke import interface as core
 from havendyke.config import Limits
 from havendyke.net.hub import Connection, Hub
 from havendyke.net.resp import encode
 
-SUB = {"method": "SUBSCRIBE", "params": {"sidecar": 1, "az": "a", "share": 2.0, "standing": True}}
-LEFT = {"method": "CLOSED", "params": {"sidecar": 1}}
-ACK = {"method": "ACK", "params": {"sidecar": 1, "version": 7, "lag_ms": 3.0}}
-GRANT = {"method": "GRANT", "params": {"partition": 4, "yes": True}}
-ROW = {"method": "ROW", "params": {"partition": 4, "host": "s1", "share": 1.0}}
-TRUE = {"id": 1, "result": True}
-
-
-def line(piece, server, weight=1.0):
-    return ("line", piece, server), {"op": "SET", "table": piece, "host": server, "share": weight}
-
-
-def told(assigner, *kinds):
-    events = [e for e in assigner.door.inbox if not kinds or isinstance(e, kinds)]
-    assigner.door.inbox = []
-    return events
-
-
-def quiet(assigner):
-    """Turns are left out: what the front tells stays in the inbox."""
-    assigner.due = True
-    return assigner
-
-
-def standing(assigner, hub, *news):
-    """One connection with news, on which this stands."""
-    assigner.relay.news.streams.append(type_of_stream(assigner))
-    feed(hub.open("news"), [TRUE, *news])
-    hub.pass_time(100)
-
-
-def type_of_stream(assigner):
-    from havendyke.net.news import Stream
-    return Stream(assigner.relay.news)
-
-
-def sent(connection):
-    """The orders of the calls that went out on a connection, and the last call's number."""
-    calls = [orjson.loads(text) for text in connection.transport.written.splitlines()]
-    return [c["params"]["orders"] for c in calls], calls[-1]["id"]
-
-
 def under_way(hub, assigner, *orders):
     assigner.relay.order(list(orders))
     return hub.open("relay")
@@ -342,13 +301,6 @@
 # Discovery
 
 
-def answer(body, chunked=True):
-    body = orjson.dumps(body) + b"\n"
-    if chunked:
-        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-
-
 def questions(hub, follow):
     return [c for c in hub.made if c.peer.name == "discovery" and c.peer.follow == follow and not c.over]
 
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,149 @@
+"""A new configuration while it runs: addresses move, what stands goes on."""
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from helpers import Transport, answer, feed, front, line, listed, quiet, raw_config, sent, standing, told, whole_list
+from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE
+
+from havendyke import config
+from havendyke import interface as core
+
+NEW = {"distributor": {"address": "127.0.0.2:6400"}, "discovery": "127.0.0.2:8500"}
+
+
+def reload(assigner, **more):
+    assigner.reload(config.read_config(raw_config(**NEW | more), {}))
+
+
+@pytest.fixture
+def running(tmp_path):
+    """The program itself; what writes its file; what waits for a line of its log."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+
+    def write(raw):
+        (tmp_path / "config.json").write_text(json.dumps(raw | {"listen": listen}) if isinstance(raw, dict) else raw)
+
+    def logged(event):
+        return next(told for told in map(json.loads, process.stderr) if told["event"] == event)
+
+    write(raw_config(discovery="127.0.0.1:1", distributor={"address": "127.0.0.1:1"}))
+    process = subprocess.Popen([sys.executable, "-m", "havendyke", "--config", str(tmp_path / "config.json")],
+                               stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
+    try:
+        logged("listening")
+        yield process, write, logged
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def at(hub, name, host):
+    """The open connections of these peers at an address, brought up."""
+    made = [c for c in hub.made if c.peer.name == name and not c.over and c.address[0] == host]
+    for c in made:
+        if c.transport is None:
+            c.connection_made(Transport())
+    return made
+
+
+@pytest.mark.parametrize("times", [1, 2])
+def test_news_from_the_new_address_stands_before_the_old_goes_and_nobody_has_left(times):
+    assigner, hub = front()
+    standing(quiet(assigner), hub, SUB, GRANT, ROW)
+    told(assigner)
+    old, = at(hub, "news", "127.0.0.1")
+    if times == 2:
+        reload(assigner, distributor={"address": "127.0.0.3:6400"})  # and again, in the middle of it
+    reload(assigner)
+    feed(old, [ACK])
+    assert not old.over
+    new, = at(hub, "news", "127.0.0.2")
+    feed(new, [TRUE, SUB, GRANT, ROW])
+    hub.pass_time(100)
+    assert not old.over
+    hub.pass_time(1000)
+    hub.run()
+    assert [c for c in hub.made if c.peer.name == "news" and not c.over] == [new]
+    assert [type(e).__name__ for e in told(assigner)] == ["Answered"]
+    feed(new, [LEFT])
+    assert [type(e).__name__ for e in told(assigner)] == ["Parted"]
+
+
+def test_an_old_address_that_closes_first_takes_nobody_along():
+    assigner, hub = front()
+    standing(quiet(assigner), hub, SUB, GRANT, ROW)
+    told(assigner)
+    old, = at(hub, "news", "127.0.0.1")
+    reload(assigner)
+    feed(at(hub, "news", "127.0.0.2")[0], [TRUE, SUB, GRANT, ROW])
+    hub.pass_time(100)
+    old.close("ended")
+    hub.pass_time(1000)
+    assert told(assigner) == []
+
+
+@pytest.mark.parametrize("ends", ["answered", "broken", "idle"])
+def test_a_call_under_way_ends_at_the_old_address_and_the_next_goes_to_the_new(ends):
+    assigner, hub = front()
+    relay = quiet(assigner).relay
+    relay.order([line(1, "s1")])
+    old, = at(hub, "relay", "127.0.0.1")
+    if ends == "idle":
+        feed(old, [{"id": sent(old)[1], "result": {"taken": 1}}])
+    reload(assigner)
+    relay.order([line(2, "s1")])
+    assert old.over == (ends == "idle")
+    if ends == "answered":
+        feed(old, [{"id": sent(old)[1], "result": {"taken": 1}}])
+    elif ends == "broken":
+        old.close("reset")
+        hub.pass_time(900)
+    new, = at(hub, "relay", "127.0.0.2")
+    hub.run()
+    assert old.over and [o["table"] for o in sent(new)[0][-1]] == ([1, 2] if ends == "broken" else [2])
+
+
+def test_the_watch_at_the_new_address_stands_before_the_old_ones_go():
+    assigner, hub = front(discovery_streams=1)
+    quiet(assigner).discovery.watch()
+    old, = at(hub, "discovery", "127.0.0.1")
+    feed(old, answer({"rev": 3, "all": False, "targets": []}))
+    reload(assigner)
+    whole, watch = at(hub, "discovery", "127.0.0.2")
+    told(assigner)
+    feed(old, answer({"rev": 4, "all": False, "targets": [listed("s1", "terminating")]}).split(b"\r\n\r\n", 1)[1])
+    assert len(told(assigner, core.Members)) == 1 and not old.over
+    feed(watch, answer({"rev": 4, "all": False, "targets": [listed("s1", "terminating")]}))
+    feed(whole, answer(whole_list("s1", rev=4), chunked=False))
+    assert [e.scope for e in told(assigner, core.Members)] == ["whole"]
+    hub.pass_time(600)
+    hub.run()
+    assert old.over and not watch.over and assigner.discovery.questions == [watch.peer]
+
+
+def test_what_waits_for_a_restart_is_said():
+    assigner, hub = front()
+    quiet(assigner)
+    reload(assigner, listen="127.0.0.9:1", limits={"memory_mb": 64})
+    assert [more["after_restart"] for event, more in hub.logged if event == "reloaded"] == [["listen", "limits"]]
+
+
+@pytest.mark.parametrize("bad, said", [("", "not JSON"), ('{"name":', "not JSON"), (None, "No such file"),
+                                       (raw_config(discovery="x"), "'discovery'")])
+def test_a_bad_file_is_said_and_the_old_one_goes_on(tmp_path, running, bad, said):
+    process, write, logged = running
+    if bad is None:
+        (tmp_path / "config.json").unlink()
+    else:
+        write(bad)
+    process.send_signal(signal.SIGHUP)
+    assert said in logged("reload_refused")["cause"]
+    write(raw_config(**NEW))
+    for _ in range(3):
+        process.send_signal(signal.SIGHUP)
+    assert logged("reloaded")["relay"] == ["127.0.0.2", 6400] and process.poll() is None
