Strangers are refused in time, and a spoilt message costs itself alone

Reports were taken before any joining, SOURCE took any zone, a stranger could hold on 8 s, or for good after one PING; the loop took in up to 96 at one look. A relay's answer with `taken` above what was sent counted as carried out, one with any `error` as turned away.

Changed: a stranger has 1.5 s and 4 KiB; what is no joining gets NACK and a close. A collector's spoilt message is counted and skipped; parts of other RESP types keep their framing. Figures are bounded, NaN and negative ones refused. A spoilt answer of the relay is a call of unknown end; a spoilt answer to a mark costs itself. A spoilt entry of the list costs neither its neighbours nor its server, and the list is asked for again. Half-open collectors end after 20 s of silence. 16 connections are taken in at one look, 512 may wait. Of one event 40 log lines a second at most.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 
 from .config import ConfigError, load
@@ -13,7 +14,7 @@
 
 async def serve(config, path=None, check=False):
     counters = {}
-    hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines), counters)
+    hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines, config.limits.log_alike), counters)
     try:
         assigner, over = Assigner(config, hub), asyncio.Event()
     except ValueError as error:
@@ -48,7 +49,11 @@
     assigner.start()
     while True:
         try:
-            await loop.create_server(assigner.collectors.caller, *config.listen, backlog=config.limits.backlog)
+            listener = socket.create_server(config.listen, family=socket.AF_INET6 if ":" in config.listen[0]
+                                            else socket.AF_INET)
+            # The loop takes in as many at one look as it is told may wait; a flood's descriptors would not do.
+            await loop.create_server(assigner.collectors.caller, sock=listener, backlog=config.limits.accepts)
+            listener.listen(config.limits.backlog)
             hub.log("listening")
             break
         except OSError as error:
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -28,7 +28,12 @@
     header: int = 1 << 14          # bytes of an HTTP head
     connect: float = 250.0         # until a connection must be up
     # Strangers that name no zone are closed after this, or, with all slots taken, the oldest of them at once.
-    stranger: float = 8000.0
+    stranger: float = 1500.0
+    stranger_message: int = 1 << 12  # bytes of a message before a joining
+    caller_buffer: int = 1 << 12   # of a connection's buffer at first, where others made it
+    collector_silence: float = 20_000.0
+    report_count: int = 1_000_000  # operations in one report
+    report_most: float = 1e6       # any other figure in it, times among them
     call_bytes: int = 59_000       # of orders in one relay call, under its 60,000
     call_answer: float = 100.0     # the relay answers within 50 ms or never
     call_idle: float = 1500.0      # our end goes before the relay's does under a call
@@ -48,10 +53,12 @@
     probe_connect: float = 250.0   # the settings' own figure, where they state one
     probes_open: int = 64
     callers: int = 256             # connections of others' making at a time
-    backlog: int = 256
+    backlog: int = 512             # connections that wait to be taken in
+    accepts: int = 16              # taken in at one look: more would hold descriptors before any is let go
     standstill: float = 100.0      # deadlines this late wait once more, so that what came in goes first
     catch_up: float = 30.0
     log_lines: int = 200           # a second
+    log_alike: int = 40            # of them of one event
     listen_again: float = 100.0
     turn_again: float = 250.0      # after a failed decision
 
@@ -116,7 +123,7 @@
     slots = min(Limits.slots, sockets - min(Limits.socket_reserve, sockets // 3))
     return Limits(memory_mb=memory, sockets=sockets, slots=slots,
                   buffers=memory * 0.25e6,
-                  callers=min(Limits.callers, slots // 2), backlog=min(Limits.backlog, slots // 4),
+                  callers=min(Limits.callers, slots // 2), accepts=min(Limits.accepts, slots // 8),
                   probes_open=min(Limits.probes_open, slots // 4),
                   probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect))
 
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -1,6 +1,7 @@
 """The list of servers: once whole, then its changes on watches; silence is found out by the empty lines."""
 from ..fields import FieldError
 from .buffer import Buffer
+from .deadlines import Backoff
 from .http import DONE, Answer, query
 from .lines import Lines, value
 
@@ -66,6 +67,7 @@
     def __init__(self, hub, address, messages, tell, version):
         self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
         self.version, self.questions, self.away = version, [], False
+        self.again = Backoff(hub.limits.discovery_again, 16 * hub.limits.discovery_again)
 
     def start(self):
         self.ask(False)
@@ -95,7 +97,13 @@
         return True
 
     def object(self, question, told):
-        event, version = self.messages.members(told)
+        before = self.hub.counters.get("bad_entries", 0)
+        event, version = self.messages.members(told, spoilt=self.spoilt)
+        if self.hub.counters.get("bad_entries", 0) > before:
+            # What it was to tell would be lost with it, a drain perhaps: the whole list has it again.
+            self.hub.after(self.again.next(), lambda: self.ask(False))
+        elif event.scope == "whole":
+            self.again.reset()
         # A watch tells all since its last object, so what a sooner one has told is left out here. A version
         # gone back to where the whole list begins anew is discovery's own new start.
         anew = question.first and event.scope == "whole" and version < question.since
@@ -107,6 +115,10 @@
         else:
             self.hub.count("list_known")
 
+    def spoilt(self, error):
+        self.hub.count("bad_entries")
+        self.hub.log("bad_entry", field=str(error)[:200])
+
     def heard(self, question):
         if not question.sound:
             question.sound = True
--- a/havendyke/net/hub.py
+++ b/havendyke/net/hub.py
@@ -10,9 +10,9 @@
 class Connection(asyncio.BufferedProtocol):
     """One socket, in or out. Its peer is told `opened()`, `received()` after more bytes, and `closed(why)` once."""
 
-    def __init__(self, hub, peer, number):
+    def __init__(self, hub, peer, number, least=None):
         self.hub, self.peer, self.number = hub, peer, number
-        self.buffer = Buffer(hub.limits.buffer, hub.limits.message, hub.budget)
+        self.buffer = Buffer(least or hub.limits.buffer, hub.limits.message, hub.budget)
         self.transport, self.deadline, self.dialling, self.over = None, None, None, False
         self.heard_at = hub.now()
 
@@ -162,7 +162,7 @@
 
     def accept(self, peer):
         """For the listener: a connection for a newcomer, or one that turns it away."""
-        made = Connection(self, peer, None)
+        made = Connection(self, peer, None, self.limits.caller_buffer)
         made.number = self.slots.take(made)
         if made.number is None:
             self.count("slots_full")
--- a/havendyke/net/log.py
+++ b/havendyke/net/log.py
@@ -6,9 +6,10 @@
 
 
 class Log:
-    def __init__(self, clock, most: int):
-        """`most` lines a second, whatever repeats itself."""
-        self.clock, self.most, self.left, self.second, self.dropped = clock, most, most, 0, 0
+    def __init__(self, clock, most: int, most_alike: int):
+        """`most` lines a second, and of one event `most_alike`: a flood of one must not hide the others."""
+        self.clock, self.most, self.most_alike, self.left, self.second, self.dropped = clock, most, most_alike, most, 0, 0
+        self.alike = {}
         # A reader of the log that stands still must not stop the loop. A line under the pipe's atomic size is
         # written whole or not at all.
         if stat.S_ISFIFO(os.fstat(2).st_mode):
@@ -17,10 +18,11 @@
     def __call__(self, event: str, **more):
         now = self.clock()
         if now // 1000 != self.second:
-            self.second, self.left = now // 1000, self.most
-        self.left -= 1
+            self.second, self.left, self.alike = now // 1000, self.most, {}
+        alike = self.alike[event] = self.alike.get(event, 0) + 1
+        self.left -= alike <= self.most_alike
         try:
-            if self.left < 0:
+            if self.left < 0 or alike > self.most_alike:
                 raise BlockingIOError
             os.write(2, orjson.dumps({"at": round(now, 1), "event": event, **more}, default=str,
                                      option=orjson.OPT_APPEND_NEWLINE))
--- a/havendyke/net/messages.py
+++ b/havendyke/net/messages.py
@@ -16,30 +16,41 @@
     return str(part, "utf-8", "replace")
 
 
-def number(told, name: str, least: float = 0.0) -> float:
+def number(told, name: str, most: float) -> float:
+    """From 0 to `most`; what is no number, or not a finite one, never gets further."""
     try:
         made = float(told)
     except ValueError:
         raise FieldError(f"field '{name}' is no number: {clip(told)}") from None
-    if not least <= made < 1e15:
+    if not 0.0 <= made <= most:
         raise FieldError(f"field '{name}' is out of range: {clip(told)}")
     return made
 
 
-def whole(told, name: str) -> int:
-    if not told.isdigit() or len(told) > 15:
-        raise FieldError(f"field '{name}' is no whole number: {clip(told)}")
-    return int(told)
+def whole(told: dict, name: str, most: int) -> int:
+    value = take(told, name, str)
+    if not value.isdecimal() or len(value) > 15 or int(value) > most:
+        raise FieldError(f"field '{name}' is no whole number up to {most}: {clip(value)}")
+    return int(value)
 
 
-def read_load(told: str) -> dict:
+def named(parts: list) -> dict:
+    """A message's names and values."""
+    if None in parts:
+        raise FieldError("a part that is no string")
+    if len(parts) % 2 == 0:
+        raise FieldError("a name without a value")
+    return {text(parts[k]): text(parts[k + 1]) for k in range(1, len(parts), 2)}
+
+
+def read_load(told: str, most: float) -> dict:
     """`inflight:7,util:0.61` of a collector or `TEXT inflight=7, queue=2` of a server; unknown names are skipped."""
     told = told.strip().removeprefix("TEXT ")
     made = {}
     for pair in told.split(","):
         name, _, value = pair.replace("=", ":").strip().partition(":")
         if name in LOADS:
-            made[LOADS[name]] = number(value.strip(), name)
+            made[LOADS[name]] = number(value.strip(), name, most)
     return made
 
 
@@ -49,7 +60,7 @@
     def __init__(self, config: Config, door: Door, wall):
         """`wall()`: what to add to Unix milliseconds to get the clock's."""
         words = config.words
-        self.door, self.wall, self.settings = door, wall, config.settings
+        self.door, self.wall, self.settings, self.limits = door, wall, config.settings, config.limits
         self.zones = {name: k for k, name in enumerate(words["zones"])}
         self.classes = {name: k for k, name in enumerate(words["classes"])}
         self.kinds = {name: k for k, name in enumerate(words["kinds"])}
@@ -58,53 +69,62 @@
 
     # From collectors
 
+    def source(self, parts: list) -> str:
+        """The zone that a joining collector names."""
+        told = named(parts)
+        word(told, "az", self.zones)
+        return told["az"]
+
     def report(self, parts: list):
-        """The event of a LOAD or SHARD; None where it is of something unknown."""
-        if len(parts) % 2 == 0:
-            raise FieldError("a name without a value")
-        told = {text(parts[k]): text(parts[k + 1]) for k in range(1, len(parts), 2)}
+        """The event of a LOAD or SHARD; None where it is of something unknown. Whatever is wrong with a field
+        costs the whole message: a half of it would be believed."""
+        told, limits = named(parts), self.limits
         kind = bytes(parts[0])
+        if kind not in (b"LOAD", b"SHARD"):
+            raise FieldError(f"kind '{text(kind)[:40]}' is unknown")
+        count = whole(told, "n", limits.report_count)
+        # Of a server's tries that ended some were bad; a slice's bad ones may have come a window earlier.
+        bad = whole(told, "bad", count if kind == b"LOAD" else limits.report_count)
+        window = number(take(told, "window", str), "window", limits.report_most)
         if kind == b"LOAD":
-            server = self.door.servers.get(take(told, "host", str))
-            zone = self.zones.get(take(told, "az", str), UNKNOWN)
-            tries, bad = whole(take(told, "n", str), "n"), whole(take(told, "bad", str), "bad")
-            event = core.ServerReport(server, zone, tries, min(bad, tries), number(told.get("avg", "0"), "avg"),
-                                      number(take(told, "window", str), "window"),
-                                      read_load(told.get("report", "")))
-            return event if server else None
-        if kind == b"SHARD":
-            piece, n = whole(take(told, "partition", str), "partition"), whole(take(told, "n", str), "n")
-            event = core.SliceReport(None, self.classes.get(take(told, "kind", str), UNKNOWN), n,
-                                     whole(take(told, "bad", str), "bad"),
-                                     number(take(told, "window", str), "window"))
-            if piece not in self.door.slices or event.operation == UNKNOWN:
-                return None
-            event.slice = self.door.slices[piece]
-            return event
-        raise FieldError(f"kind '{text(parts[0])[:40]}' is unknown")
+            zone, server = word(told, "az", self.zones), self.door.servers.get(take(told, "host", str))
+            # Only where all of them failed is there no mean time of the others.
+            latency = number(take(told, "avg", str, "0" if count == bad else ...), "avg", limits.report_most)
+            load = read_load(told.get("report", ""), limits.report_most)
+            return core.ServerReport(server, zone, count, bad, latency, window, load) if server else None
+        operation = word(told, "kind", self.classes)
+        piece = self.door.slices.get(whole(told, "partition", max(self.settings.slices - 1, 0)))
+        return core.SliceReport(piece, operation, count, bad, window) if piece else None
 
     # From discovery
 
-    def members(self, told: dict, scope: str = ""):
-        """The event of a list, and its version."""
+    def members(self, told: dict, scope: str = "", spoilt=None):
+        """The event of a list, and its version. `spoilt(error)` hears of each entry that cannot be read; the others
+        count all the same, and nobody is taken for gone by such a list. Without it the first one ends the list."""
         version = take(told, "rev", int)
-        whole_list = take(told, "all", bool)
-        entries, ends = [], []
+        whole, entries = take(told, "all", bool), []
         for e in take(told, "targets", list):
-            ident = take(e, "uid", str)
-            ends.append((ident, take(e, "endpoint", str, "")))
-            boot = take(e, "boot_ms", NUMBER, 0)
-            entries.append(core.Entry(ident, word(e, "state", STATES), boot, self.zones.get(take(e, "az", str), UNKNOWN),
-                                      take(e, "pod_group", int, 0),
-                                      self.kinds.get(take(e, "model", str, ""), 0),
-                                      take(e, "capacity_hint", NUMBER, 1.0)))
+            try:
+                entries.append((take(e, "uid", str), take(e, "endpoint", str, ""), self.entry(e)))
+            except FieldError as error:
+                if spoilt is None:
+                    raise
+                spoilt(error)
+                whole = False
         # Only what was read whole reaches the door.
-        for entry, (ident, end) in zip(entries, ends):
+        for ident, end, entry in entries:
             entry.server = self.door.server(ident)
             if end:
                 self.endpoints[entry.server] = end
             entry.started = self.start(entry.server, entry.started)
-        return core.Members(scope or ("whole" if whole_list else "changes"), entries), version
+        return core.Members(scope or ("whole" if whole else "changes"), [entry for _, _, entry in entries]), version
+
+    def entry(self, e: dict):
+        boot, size = take(e, "boot_ms", NUMBER, 0), take(e, "capacity_hint", NUMBER, 1.0)
+        if boot < 0 or not 0 <= size <= self.limits.report_most:
+            raise FieldError(f"field 'boot_ms' or 'capacity_hint' is out of range in {clip(e)}")
+        return core.Entry(None, word(e, "state", STATES), boot, self.zones.get(take(e, "az", str), UNKNOWN),
+                          take(e, "pod_group", int, 0), self.kinds.get(take(e, "model", str, ""), 0), size)
 
     def start(self, server, boot):
         # The same start is the same time for good: a step of the system's clock would look like a restart.
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -6,6 +6,7 @@
 from .messages import call
 
 
+MARKS = 65536  # marks are numbered up to here, then anew
 STEP = 0.001   # a row shows shares in such steps
 SHOWN = 1e-9   # for a line whose share a row has rounded to nothing: it is there, however small
 
@@ -73,6 +74,16 @@
             return
         if kind not in KINDS:
             raise FieldError(f"field 'method' is unknown: {str(kind)[:40]}")
+        try:
+            self.read(kind, told)
+        except FieldError as error:
+            if kind != "ACK":
+                raise  # what stands is no longer known: it is asked for anew
+            # An answer less only makes its slices wait for the next mark.
+            self.hub.count("bad_answers")
+            self.hub.log("bad_answer", field=str(error)[:200])
+
+    def read(self, kind, told):
         params, messages = take(told, "params", dict), self.news.messages
         name, read = KINDS[kind]
         ident = messages.proxy(params) if name == "proxy" else messages.piece(params)
@@ -102,7 +113,10 @@
 
     def answer(self, proxy, params):
         version, lag = take(params, "version", int), take(params, "lag_ms", NUMBER, 0.0)
-        if not self.look:
+        if not 0 <= version < MARKS or not 0 <= lag < self.hub.limits.report_most:
+            raise FieldError(f"field 'version' or 'lag_ms' is out of range: {str(params)[:100]}")
+        # Of a proxy that is not there, no mark can be.
+        if not self.look and self.news.proxies.get(proxy, 0) & 1:
             self.news.answer(proxy, version, lag)
 
     def grant(self, piece, params):
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -43,7 +43,7 @@
         load = {}
         if outcome == "answered" and self.body:
             try:
-                load = read_load(text(self.body))
+                load = read_load(text(self.body), self.hub.limits.report_most)
             except ValueError as error:
                 self.hub.count("bad_messages")
                 self.hub.log("bad_message", peer=self.name, field=str(error)[:200])
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -151,12 +151,16 @@
         if self.sent is None or told.get("id") != self.number:
             self.hub.count("relay_stale_answers")
             return
+        # What is no answer of the relay's own says nothing of the call's end: the store's lines tell it.
         if "error" in told:
-            self.refused(told["error"])
+            said = take(take(told, "error", dict), "message", str)
+            if "BUSY" not in said and "SYNTAX" not in said:
+                raise FieldError(f"field 'message' is unknown: {said[:40]}")
+            self.refused(said)
         else:
             taken = take(take(told, "result", dict), "taken", int)
-            if taken < 0:
-                raise FieldError(f"field 'taken' is {taken}")
+            if not 0 <= taken <= len(self.sent):
+                raise FieldError(f"field 'taken' is {taken} of {len(self.sent)}")
             self.answered(taken)
 
     def end(self, how):
@@ -185,11 +189,10 @@
         self.rest()
         self.next()
 
-    def refused(self, error):
-        code = error.get("message", error.get("code", error)) if isinstance(error, dict) else error
+    def refused(self, said):
         orders = self.end("turned_away")
-        if "SYNTAX" in str(error):
-            self.hub.log("call_refused", error=str(code)[:100], orders=len(orders))
+        if "SYNTAX" in said:
+            self.hub.log("call_refused", error=said[:100], orders=len(orders))
             self.hub.count("relay_syntax")
             # Halves find the one that cannot be read; the rest must not suffer for it.
             self.few = len(orders) // 2 or None
@@ -197,7 +200,7 @@
         self.put_back(orders)
         # It is there and answers at once: no reason to come ever later.
         self.again.reset()
-        self.pause(str(code)[:60])
+        self.pause(said[:60])
 
     def carried(self, orders):
         for key, order in orders:
