Unheard demand counts as the mean; a failing server beside a sound fleet gives quicker

And servers with half of their tries failing at 1.7 s kept their slices for 15 s: their own failures made `busy` true for all, and fill() fell back from a slice a push to one in 5 s.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -17,7 +17,7 @@
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 5000.0, 20000.0  # so long an ill server rests at first, and at most
-HALF_LIFE, BINS = 2500.0, 24  # tallies are halved this often; three bins to a doubling, from 8 ms on
+HALF_LIFE, HEARD, BINS = 2500.0, 3750.0, 24  # between halvings; till a tally is full; 3 a doubling, from 8 ms
 SPARE, LEAST = 0.02, 1e-6  # weight of a slice's spare line, against its owner's; what is too small to divide
 LEVEL_EVERY = 2500.0  # while the fleet is full, LEVEL_AIM of what it answered of all that came is let in
 LEVEL_AIM, LEVEL_LEAST, LEVEL_UP = 0.9, 0.25, 1.5  # the last a step, once hardly any try fails
@@ -125,6 +125,7 @@
 
     def custody(self, event):
         piece = event.slice
+        piece.given_at = piece.given_at if piece.held else self.now
         piece.held, piece.present, piece.wanted, piece.push, piece.freed_at = event.given, {}, {}, None, None
         self.urgent = True
 
@@ -232,8 +233,7 @@
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
     def shed(self):
-        # A full fleet works on what clients have given up: letting less in is the only way out of the jam. Where
-        # few servers fail, however much, their slices move; what the others could answer must not be refused.
+        # A full fleet works on what clients gave up; only letting less in ends that. Few bad servers are no jam.
         if not self.sheds or self.now < self.levelled_at + LEVEL_EVERY:
             return
         self.levelled_at = self.now
@@ -272,16 +272,16 @@
                 self.spare(piece)
 
     def weigh(self, mine):
+        # What was not yet heard of a slice counts as the mean: one just given is not light, its owner not cool.
+        heard = [max(0.0, min(1.0, (self.now - p.given_at) / HEARD)) for p in mine]
         raw = [sum(w * b for w, b in zip(self.work, p.heat.bins)) for p in mine]
-        mean = sum(raw) / len(raw) if raw else 0.0
-        self.heard = mean > 0
+        mean, self.heard = sum(raw) / max(1.0, sum(heard)), sum(raw) > 0
         for server in self.servers:
             server.load, server.owned = 0.0, []
-        for piece, heat in zip(mine, raw):
-            piece.demand = 0.1 + 0.9 * heat / mean if mean else 1.0
+        for piece, heat, part in zip(mine, raw, heard):
+            piece.demand = 0.1 + 0.9 * (heat / mean + 1 - part) if mean else 1.0
             if owner := piece.owner():
-                owner.load += piece.demand
-                owner.owned.append(piece)
+                owner.load, owner.owned = owner.load + piece.demand, owner.owned + [piece]
         total = sum(p.demand for p in mine)
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
@@ -357,7 +357,7 @@
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > (
-            PUSH_GAP - 1 if s.failing and not self.busy else FILL)]
+            PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             cooler = [s for s in self.servers if s.grade == WARM and not s.out
                       and s.heat < min(giver.heat, 1.1) and (s.held.middle() or 0.0) <= self.usual_held
@@ -404,8 +404,8 @@
         left = max((p.answered for p in self.proxies), default=0)
         unanswered = sum(self.left(push) for push in self.pushes if push.serial >= left)
         # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
-        gone, self.queued_at = (self.now - self.queued_at) * self.pace, self.now
-        self.queued = max(0.0, self.queued - gone)
+        past, self.queued_at = self.now - self.queued_at, self.now
+        self.queued = max(0.0, self.queued - past * self.pace)
         return min(unanswered, self.queued)
 
     def emit(self):
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -82,7 +82,7 @@
 class Slice:
     def __init__(self, ident, classes):
         self.id = ident
-        self.held, self.zone = False, None         # zone: a bound table for classes kept in their zone
+        self.held, self.zone, self.given_at = False, None, -1e9         # zone: a bound table for classes kept in their zone
         self.present, self.wanted = {}, {}
         self.heat = Tally(classes)
         self.demand, self.moved_at, self.push, self.freed_at = None, -1e9, None, None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -495,3 +495,40 @@
     assert c.emit() == []  # what was ordered before has only now begun to leave
     c.now += 1000.0
     assert lines(c.emit())
+
+
+@pytest.mark.parametrize("age, light", [(0.0, False), (60_000.0, True)])
+def test_a_slice_just_given_counts_as_the_mean_until_it_is_heard(age, light):
+    # With another controller gone, its slices came unheard: their owners looked empty and got still more.
+    c = controller()
+    servers = fleet(c, 4)
+    pieces = slices(c, servers)
+    for piece in pieces:
+        piece.given_at = c.now - 60_000.0
+    pieces[0].given_at = c.now - age
+    for piece in pieces[1:]:
+        piece.heat.add(0, 30.0)
+    c.weigh(pieces)
+    assert (pieces[0].demand < 0.9 * pieces[1].demand) == light
+
+
+@pytest.mark.parametrize("others_bad, gives", [(0, True), (40, False)])
+def test_a_failing_server_beside_a_sound_fleet_gives_a_slice_a_push(others_bad, gives):
+    # Two of its own made the whole count as busy, and it gave a slice in 5 s while half of its tries failed.
+    c = controller()
+    servers = fleet(c, 6)
+    made = slices(c, [servers[0]] * 4 + servers[1:5])
+    join(c, 1)
+    for piece in made:
+        piece.moved_at = piece.given_at = -1e9
+        piece.heat.add(0, 10.0)
+    for k, s in enumerate(servers):
+        heard(c, s, 100, 60 if k == 0 else others_bad, 900.0 if k == 0 else 100.0)
+        s.hot = 3 if k == 0 else 0
+    servers[0].gave_at = c.now - rules.PUSH_GAP
+    c.good_at = c.reported_at = c.now
+    c.judge()
+    c.weigh(made)
+    assert c.busy and c.strained != gives
+    c.fill(made)
+    assert (servers[0].gave_at == c.now) == gives
