--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -207,7 +207,7 @@
             silent = server.mute >= MUTE_PROBES * (JAM if full else 1)
             mute = silent and self.now - self.good_at < NEWS * self.report_period < self.now - server.good_at
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
-                server.ill_till, server.returning, server.latency = None, True, Tally(BINS)
+                server.ill_till, server.returning = None, True
             elif server.ill_till or server.streak >= DEAD_PROBES or mute or (
                     server.failing and not slow and not self.strained):
                 suspects.append(server)
@@ -293,7 +293,7 @@
 
     def fits(self, server, demand, part):
         room = self.usual * server.sure if server.grade == COLD else part * self.fair * server.capacity
-        return server.grade >= COLD and server.load + demand <= room and (self.strained or not server.failing)
+        return server.grade >= COLD and server.load + demand <= room
 
     def score(self, piece, server):
         return -max(server.capacity, 1e-6) / log(hashed(piece, server))
