Servers that left for good are let go by controller, door, addresses and probes

Seen by reading: each server that ever was stayed in the controller's list, the door's ids, addresses, starts and probe outcomes; judge() and shutters() walk them all at every look. Every 5 s those that the list no longer has and no slice names are let go; an id that was shut out is remembered (1000 at most), so that a name that comes back is opened before it is used. A probe that ends after its server left tells nothing.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -61,6 +61,8 @@
     log_lines: int = 200           # a second
     log_alike: int = 40            # of them of one event
     listen_again: float = 100.0
+    sweep: float = 5000.0          # between looks for servers that have left for good
+    forgotten: int = 1000          # ids of them that are remembered as shut out
     turn_again: float = 250.0      # after a failed decision
 
 
--- a/havendyke/door.py
+++ b/havendyke/door.py
@@ -1,6 +1,7 @@
 """Ids become the controller's objects here, once for each id; behind the door nobody knows an id."""
 from .interface import Settings
 from .rules import Controller
+from .state import departed
 
 
 class Door:
@@ -9,6 +10,7 @@
     def __init__(self, settings: Settings, seed: int):
         self.controller = Controller(settings, seed)
         self.servers, self.slices, self.proxies = {}, {}, {}
+        self.shut = {}  # ids that were forgotten while shut out, oldest first
         self.inbox = []
 
     @staticmethod
@@ -18,7 +20,26 @@
         return kind[ident]
 
     def server(self, ident: str):
-        return self.one(self.servers, self.controller.server, ident)
+        new = ident not in self.servers
+        made = self.one(self.servers, self.controller.server, ident)
+        if new and ident in self.shut:
+            # A name that comes back is still shut at the proxies: it must be opened before it is used.
+            del self.shut[ident]
+            made.doubt = made.shut_once = True
+        return made
+
+    def forget(self, kept: int) -> list:
+        """Lets go of the servers that have left for good: after months of releases each look would cost by all
+        that ever were. Of the shut ones `kept` ids are remembered."""
+        left = departed(self.controller.servers, self.controller.slices) if not self.inbox else []
+        for server in left:
+            self.controller.servers.remove(server)
+            del self.servers[server.id]
+            if server.out or server.doubt:
+                self.shut[server.id] = None
+        while len(self.shut) > kept:
+            del self.shut[next(iter(self.shut))]
+        return left
 
     def slice(self, ident: int):
         return self.one(self.slices, self.controller.slice, ident)
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -36,6 +36,7 @@
     def start(self):
         self.relay.start()
         self.turn()
+        self.sweep()
         self.discovery.start()
 
     def reload(self, config: Config):
@@ -50,6 +51,14 @@
         self.hub.count("reloads")
         self.hub.log("reloaded", relay=config.relay, discovery=config.discovery, after_restart=later)
 
+    def sweep(self):
+        """What is kept by id goes with the id."""
+        left = self.door.forget(self.hub.limits.forgotten)
+        self.messages.forget(left)
+        self.probes.forget(left)
+        self.hub.count("servers_forgotten", len(left))
+        self.hub.after(self.hub.limits.sweep, self.sweep)
+
     def tell(self, event: object):
         """What one look of the loop brings makes one turn."""
         self.door.inbox.append(event)
--- a/havendyke/net/messages.py
+++ b/havendyke/net/messages.py
@@ -126,6 +126,11 @@
         return core.Entry(None, word(e, "state", STATES), boot, self.zones.get(take(e, "az", str), UNKNOWN),
                           take(e, "pod_group", int, 0), self.kinds.get(take(e, "model", str, ""), 0), size)
 
+    def forget(self, servers: list):
+        for server in servers:
+            self.endpoints.pop(server, None)
+            self.started.pop(server, None)
+
     def start(self, server, boot):
         # The same start is the same time for good: a step of the system's clock would look like a restart.
         known = self.started.get(server)
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -71,9 +71,15 @@
             self.open -= 1
             self.hub.count("probes_left_out")
 
+    def forget(self, servers: list):
+        for server in servers:
+            self.last.pop(server, None)
+
     def done(self, probe, outcome, load, why):
         self.open -= 1
         self.hub.count(f"probes_{outcome}")
+        if probe.server not in self.messages.started:
+            return  # it has left for good meanwhile
         if outcome != self.last.get(probe.server, "answered"):
             self.hub.log("probe", server=probe.server.id, outcome=outcome, why=why,
                          ms=round(self.hub.now() - probe.began, 1))
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -118,6 +118,12 @@
     return push
 
 
+def departed(servers, slices):
+    """The servers that the list no longer has and no slice knows."""
+    used = {s for piece in slices for table in (piece.present, piece.wanted) for s in table}
+    return [s for s in servers if s.state in ("gone", None) and s not in used]
+
+
 def users_of(slices):
     """The held slices whose lines name a server, by server."""
     users = defaultdict(list)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -134,3 +134,43 @@
     assert all(p.answered == c.serial for p in c.proxies if p.joined) and assigner.relay.away is None
     assert hub.counters["relay_unknown"] > 5 and relay.most <= 16
     assert not any(isinstance(e, core.Reached) for e in assigner.door.inbox) and not hub.counters.get("failures")
+
+
+def test_many_generations_of_servers_leave_nothing_behind():
+    assigner, hub = front()
+    relay = Relay(hub, random.Random(3))
+    relay.rough = False
+    assigner.start()
+    version, alive = 1, SERVERS
+    tell = lambda names, state: assigner.tell(assigner.messages.members(  # noqa: E731
+        {"rev": version, "all": False, "targets": [listed(n, state) for n in names]})[0])
+    tell(alive, "in_service")
+    sizes = []
+    for generation in range(12):
+        fresh = [f"g{generation}-{k}" for k in range(6)]
+        for names, state in ((fresh, "in_service"), (alive, "terminating"), (alive, "terminated")):
+            version += 1
+            tell(names, state)
+            for step in range(800):
+                hub.pass_time(10)
+                hub.run()
+                relay.step()
+                if step % 100 == 0:
+                    relay.tell("ping")
+        alive = fresh
+        kept = assigner.messages
+        sizes.append([len(x) for x in (assigner.door.servers, assigner.door.controller.servers, kept.endpoints,
+                                       kept.started, assigner.probes.last)])
+    assert all(size <= 12 for size in sum(sizes[2:], [])) and len(assigner.door.shut) <= 72
+    assert {n for table in relay.store.values() for n in table} <= set(alive) and hub.counters["servers_forgotten"] > 50
+
+
+@pytest.mark.parametrize("shut", [False, True])
+def test_a_name_that_comes_back_after_it_was_forgotten_is_opened_before_it_is_used(shut):
+    assigner, _ = front()
+    server = assigner.door.server("s9")
+    server.state, server.out = "gone", shut
+    assigner.door.inbox = []
+    assigner.sweep()
+    assert "s9" not in assigner.door.servers
+    assert assigner.door.server("s9").doubt == shut and not assigner.door.shut
