Answers lost while all news was silent clear what was answered

A probe showed 3102 lines believed to wait behind mark 1; the log both news streams silent at 5.15 and 5.29 s, replaced one by one, so no gap. Ruled out: the relay (never away), lines in the store, rooms for drains. At fault: News.lost, which took any other settled stream for a witness. Now a witness stood before the lost one was last heard and was heard within 1.3 s.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -44,6 +44,7 @@
     mark_answer: float = 700.0     # a mark that was carried out is answered by somebody within this, as a rule
     news_streams: int = 2          # connections that carry the relay's news
     news_silence: float = 2300.0   # two pings missed
+    news_overdue: float = 1300.0   # one missed: no witness that nothing was lost on another
     news_settle: float = 60.0      # news of a slice waits so long for its lines, orders for proxies that still join
     joining: float = 1500.0        # but no longer than this
     discovery_streams: int = 2
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -241,6 +241,13 @@
             return
         if stream in self.streams:
             self.streams.remove(stream)
+        since = stream.connection.heard_at if stream.settled else 0.0
+        overdue = self.hub.now() - self.hub.limits.news_overdue
+        if stream.settled and not any(s.asked_at <= since and s.connection.heard_at >= overdue for s in self.known()):
+            # Answers that only this one would have brought were lost unseen, for the others are silent too or came
+            # later. Nobody tells them again: a channel believed full of them stood still until drains broke.
+            for other in self.known():
+                other.connection.close("overdue")
         if stream.settled:
             self.hub.log("news_lost", why=why, left=len(self.known()))
             if not self.known():
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -277,6 +277,28 @@
     assert (events[1].slice.id, events[1].given, events[4].server.id) == (5, False, "s2")
 
 
+@pytest.mark.parametrize("witness", [False, True])
+def test_answers_lost_while_all_streams_were_silent_clear_what_was_answered(witness):
+    # Both fell silent at once and came again one by one: no gap was seen, the marks answered meanwhile were waited
+    # for, and a channel believed full took no lines for 15 s.
+    assigner, hub = front()
+    standing(quiet(assigner), hub, SUB)
+    standing(assigner, hub, SUB)
+    one, two = [c for c in hub.made if c.peer.name == "news"]
+    for stream in (one, two):
+        feed(stream, [{"method": "ping"}])
+    told(assigner)
+    hub.pass_time(1500)
+    if witness:
+        feed(two, [{"method": "ping"}])
+    hub.pass_time(900)
+    if not witness:
+        feed(hub.open("news"), [TRUE, SUB])
+    hub.pass_time(100)
+    assert one.over and two.over != witness
+    assert [type(e).__name__ for e in told(assigner)] == ([] if witness else ["Parted", "Joined"])
+
+
 def test_what_stands_unchanged_is_not_told_again():
     assigner, hub = front()
     standing(quiet(assigner), hub, SUB, GRANT, ROW)
