A drain no longer waits behind spares: slices with no line get their owner's alone

A probe of pushes and answered marks showed that the withdrawals were not in the push after the news: 14 slices taken over with lines on shut servers only took two lines each, owner and spare, and filled the push, so that 11 slices which held the withdrawals up got theirs two pushes later. The lead that withdrawals share a message behind a full channel was wrong: nothing waited, all marks were answered within 0.9 s. Besides, a push past its second had less room than an early one and waited 0.4 to 0.6 s.

Ruled out: pushes of withdrawals alone and a standing reserve, which would not have moved what waited for lines.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -421,7 +421,8 @@
         easy = (self.queue_half - waiting) / each - self.head - 4
         # Beyond half the limit only for the rules: a drain's grace is short, and slices must not be bare.
         room = easy + URGENT * self.queue_half / each
-        if (room if early else easy) < min(self.head, 1 + len(changed)) or early and not changed:
+        pressed = early or any(self.pressing(p)[0] <= CLOSED for p in changed)
+        if (room if pressed else easy) < min(self.head, 1 + len(changed)) or early and not changed:
             return []  # a full channel is not spent on the heads of messages that bring a line each
         orders = []
         if joined and (levels := self.tries()) != self.levels and easy > len(levels):
@@ -499,8 +500,10 @@
         if self.one_owner and piece.freed_at is not None and (
                 self.now - piece.freed_at < self.hold or piece.push and not self.settled(piece)):
             return [], {}
-        # Out of a server that must go comes only the new owner's line, for one more shuts it; spares wait.
-        hurry, owner = any(s.grade <= ILL and not s.out for s in piece.present), piece.owner()
+        # Out of a server that must go comes only the new owner's line, for one more shuts it; spares wait. So do
+        # those of slices with no line left: taken over by the dozen, their spares kept a withdrawal past its grace.
+        bare = all(s.out for s in piece.present)
+        hurry, owner = bare or any(s.grade <= ILL and not s.out for s in piece.present), piece.owner()
         if hurry and owner and piece.present.get(owner) != piece.wanted[owner]:
             out = {**piece.present, owner: piece.wanted[owner]}
         else:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -548,3 +548,42 @@
     c.reached(core.Reached(True))
     c.now += rules.PUSH_GAP
     assert (c.waiting() == 0) == room
+
+
+def taken_over(count, **settings):
+    """A controller that just got `count` slices whose only servers are shut, beside two whose server drains."""
+    c = controller(**settings)
+    a, b, shut, drained = fleet(c, 4)
+    empty = slices(c, [shut] * count)
+    drains = [c.slice(count), c.slice(count + 1)]
+    for piece in drains:
+        c.custody(core.Custody(piece, True))
+        c.stored(core.Stored(piece, drained, 1.0))
+    join(c, 2)
+    shut.state = drained.state = "draining"
+    shut.out = shut.shut_once = True
+    c.judge()
+    c.plan()
+    return c, drained, empty
+
+
+def test_slices_taken_over_empty_get_one_line_each_and_the_drain_beside_them_is_kept():
+    # Two lines each, owner and spare, filled two pushes: the withdrawal behind them left 2.2 s after the news.
+    c, drained, empty = taken_over(12, queue_limit=116.0)  # room for 21 orders a proxy
+    orders = c.emit()
+    assert {o.slice for o in lines(orders)} >= set(empty) and len(lines(orders)) == 14
+    assert core.Withdraw(drained, True) in orders
+    c.now += 2 * rules.PUSH_GAP
+    c.caught_up(core.Answered(c.proxies[0], 1, 300.0))
+    c.caught_up(core.Answered(c.proxies[1], 1, 300.0))
+    c.plan()
+    assert {o.slice for o in lines(c.emit())} & set(empty)  # the spares follow
+
+
+@pytest.mark.parametrize("early", [False, True])
+def test_a_drain_has_its_reserve_of_the_channel_in_every_push(early):
+    # Past the second it had less room than before it: the push of a drain waited until the last one was answered.
+    c, drained, _ = taken_over(0, queue_limit=116.0)
+    c.next_push = c.now + 100 if early else c.now - 100
+    c.waiting = lambda: 0.55 * c.queue_half
+    assert core.Withdraw(drained, True) in c.emit()
