--- /dev/null
+++ b/fuzz/targets/machines.py
@@ -0,0 +1,336 @@
+"""State machines in the test's own time: drawn troubles, then rest, then everybody must agree.
+
+An input is a program of steps of four bytes: what, and three that say how. Each target draws from its own part of
+the steps, so that short programs go deep; `world` draws from all of them.
+"""
+from dataclasses import replace
+
+from havendyke import config
+from havendyke import interface as core
+from havendyke.lab.hub import feed
+from havendyke.lab.peers import ENDINGS, World
+from havendyke.net.assigner import Assigner
+from havendyke.net.deadlines import Deadlines
+from havendyke.net.resp import encode
+from havendyke.net.slots import Slots
+
+from ..draw import Draw
+from ..registry import hold, register
+from .world import SETTINGS, known, listed, raw_config
+
+SERVERS = [f"s{k}" for k in range(1, 7)]
+ADDRESSES = [{"distributor": {"address": f"127.0.0.{k}:6400"}, "discovery": f"127.0.0.{k}:8500"} for k in (1, 2, 3)]
+REST = 9000.0       # ms of quiet after which all must agree
+SPAN = 12_000.0     # ms of troubles at the most
+SLOTS, DEADLINES = 14, 40  # at rest: streams, and probes under way; what hangs on them and the decisions' reminders
+
+
+class Play:
+    """One program over one world; `steps` are the methods that its target may draw."""
+
+    def __init__(self, steps, **limits):
+        self.world = World(self.make, {piece: {SERVERS[piece % 6]: 1.0} for piece in range(8)},
+                           {name: listed(name) for name in SERVERS}, **limits)
+        self.assigner, self.hub, self.steps = self.world.assigner, self.world.hub, steps
+        self.relay, self.registry, self.number = self.world.relay, self.world.registry, 0
+        self.began, self.addresses, self.spoilt = self.hub.time, ADDRESSES[0], False
+        self.assigner.start()
+        self.world.pass_time(1500)
+
+    def make(self, hub):
+        return Assigner(config.read_config(raw_config(known=known(*SERVERS)), {}), hub)
+
+    def run(self, data):
+        draw = Draw(data)
+        while not draw.over and self.hub.time - self.began < SPAN:
+            step, a, b, c = draw.choice(self.steps), draw.byte(), draw.byte(), draw.byte()
+            step(self, a, b, c)
+            self.world.hub.run()
+            hold(not self.hub.counters.get("failures"), "a failure:", self.hub.logged[-3:])
+        self.rest()
+
+    def rest(self):
+        self.relay.ending, self.relay.down, self.registry.down = "well", False, False
+        self.world.probe_answers, self.world.refused = "well", set()
+        self.registry.change(**{name: {"state": "in_service"} for name in SERVERS})
+        for connection in self.world.callers:
+            connection.close("over")
+        self.world.pass_time(REST)
+        wrong = self.world.disagreements()
+        if wrong and not self.spoilt:
+            # What is drawn may end just before a stream's silence is noticed: once more, and no further.
+            self.world.pass_time(REST)
+            wrong = self.world.disagreements()
+        hold(not wrong, *wrong[:4])
+        failed = [told for told in self.hub.logged if told[0] in ("failure", "decision_failed")]
+        hold(not failed, "a failure:", failed[:2])
+        slots, deadlines = len(self.hub.slots), sum(d.call is not None for d in self.hub.deadlines.heap)
+        hold(slots <= SLOTS, slots, "slots in use at rest:", [c.peer.name for c in self.hub.slots])
+        hold(deadlines <= DEADLINES, deadlines, "deadlines at rest")
+        hold(self.assigner.discovery.version == self.registry.version, "the list is of version",
+             self.assigner.discovery.version, "not", self.registry.version)
+        states = {s.id: s.state for s in self.assigner.door.controller.servers if s.id in SERVERS}
+        hold(set(states.values()) == {"ready"}, "servers are", states)
+
+    # Steps
+
+    def wait(self, a, b, c):
+        self.world.pass_time((a + 1) * (1, 4, 16)[b % 3])
+
+    def stand_still(self, a, b, c):
+        self.world.stand_still(a * 8.0)
+        self.world.pass_time(50)
+
+    def ending(self, a, b, c):
+        self.relay.ending = ENDINGS[a % len(ENDINGS)]
+        self.world.pass_time(b * 4.0)
+
+    def orders(self, a, b, c):
+        """Orders of its own beside the decisions': moves that a change of the list brings about."""
+        self.servers(a, b, c)
+        self.world.pass_time(c)
+
+    def away(self, a, b, c):
+        self.relay.down = bool(a & 1)
+        for peer in self.relay.peers if b & 1 else ():
+            peer.silent = peer.silent or self.relay.down
+        self.world.pass_time(c * 8.0)
+        self.relay.down = False
+
+    def cut_news(self, a, b, c):
+        live = self.relay.live()
+        for peer in live if a & 1 else live[:1]:
+            if b % 4 == 0:
+                peer.silent = True
+            elif b % 4 == 1:
+                feed(peer.connection, b'{"jsonrpc":"2.0","method":"ROW","par')
+                peer.close()
+            elif b % 4 == 2:
+                feed(peer.connection, b"\x00garbage\n")
+            else:
+                peer.close("ended" if c & 1 else "reset")
+
+    def cut_calls(self, a, b, c):
+        for peer in [p for p in self.relay.peers if not p.connection.over and p.connection.peer.name == "relay"]:
+            peer.close("ended" if a & 1 else "reset")
+
+    def proxy(self, a, b, c):
+        proxy = a % 6
+        if b % 4 == 0 or proxy in self.relay.joined:
+            self.relay.leaves(proxy)
+        if b % 4 != 1:
+            self.relay.comes(proxy)
+
+    def custody(self, a, b, c):
+        piece = a % 8
+        self.relay.taken(piece)
+        if b % 4 == 3:
+            self.world.pass_time(c)
+        lines = {SERVERS[b % 6]: 1.0} | ({SERVERS[c % 6]: 0.02} if c & 8 else {})
+        self.relay.gives(piece, {} if c == 255 else lines)
+
+    def again(self, a, b, c):
+        """What was told is told again, or late: it must change nothing."""
+        live = self.relay.live()
+        if not live:
+            return
+        if a % 3 == 0:
+            for proxy in sorted(self.relay.joined):
+                self.relay.tell("ACK", live[0], sidecar=proxy, version=(b << 8 | c) % 65536, lag_ms=1.0)
+        elif a % 3 == 1 and self.relay.given:
+            self.relay.row(sorted(self.relay.given)[b % len(self.relay.given)])
+        else:
+            self.relay.tell("CLOSED", sidecar=7)
+            self.relay.tell("GRANT", partition=99, yes=True)
+
+    def servers(self, a, b, c):
+        names = [SERVERS[a % 6]] + ([SERVERS[b % 6]] if b & 8 else [])
+        state = ("terminating", "in_service", "terminated", "terminating")[c % 4]
+        more = {"boot_ms": round(5000 + self.hub.time)} if c & 4 else {}
+        self.registry.change(**{n: {"state": state, **more} for n in names})
+
+    def strange_server(self, a, b, c):
+        self.number += 1
+        name = f"g{self.number}"
+        self.registry.change(**{name: listed(name, ("in_service", "terminating")[a & 1])})
+        if b & 1:
+            self.world.pass_time(c * 4.0)
+            self.registry.change(**{name: {"state": "terminated"}})
+
+    def cut_list(self, a, b, c):
+        live = self.registry.live()
+        for peer in live if a & 1 else live[:1]:
+            if b % 3 == 0:
+                peer.silent = True
+            else:
+                peer.close("ended" if b % 3 == 1 else "reset")
+
+    def list_away(self, a, b, c):
+        self.registry.down = bool(a & 1)
+        self.servers(b, c, a >> 1)
+        self.world.pass_time(b * 8.0)
+        self.registry.down = False
+        for peer in self.registry.live():
+            peer.close()
+
+    def list_anew(self, a, b, c):
+        self.registry.restart()
+        if a & 1:
+            self.servers(a, b, c)
+
+    def spoilt_entry(self, a, b, c):
+        draw = Draw(bytes([a, b, c]))
+        odd = draw.odd()
+        if type(odd) is not int or abs(odd) < 1 << 63:  # the stand-in's JSON has no longer ones
+            self.registry.spoil = {draw.choice(("state", "boot_ms", "capacity_hint", "az")): odd}
+        self.servers(a, b, c)
+
+    def collector(self, a, b, c):
+        connection = self.world.collector(("a", "b", "z", None)[a % 4])
+        if a % 4 < 2 and not connection.over:
+            for k in range(b % 8):
+                feed(connection, encode("LOAD", "az", "a", "host", SERVERS[(b + k) % 6], "n", str(c), "bad", str(c // 2),
+                                        "avg", "40.5", "window", "1000.0", "report", "inflight:1"))
+
+    def flood(self, a, b, c):
+        for _ in range(a % 40):
+            connection = self.world.collector(None)
+            if not connection.over:
+                feed(connection, (b"", b"*", b"*1\r\n$4\r\nPI", b"GET / HTTP/1.1\r\n", encode("PING"))[b % 5])
+        self.world.pass_time(c)
+
+    def gone_caller(self, a, b, c):
+        if self.world.callers:
+            self.world.callers[a % len(self.world.callers)].close("reset")
+
+    def probes(self, a, b, c):
+        self.world.probe_answers = ("well", "full", "junk", "cut", "refused", "absent", "silent")[a % 7]
+        self.world.pass_time(b * 4.0)
+
+    def move(self, a, b, c):
+        self.addresses = ADDRESSES[a % 3]
+        made = config.read_config(raw_config(known=known(*SERVERS), **self.addresses), {})
+        self.assigner.reload(made)
+        if b & 1:
+            # The old addresses are closed a moment later.
+            self.world.pass_time(c * 2.0)
+            for connection in [x for x in self.hub.made if not x.over and x.peer.name in ("news", "relay", "discovery")]:
+                if connection.address[0] != self.addresses["distributor"]["address"].split(":")[0]:
+                    connection.close("reset")
+
+    def refused(self, a, b, c):
+        self.world.refused = {6400, 8500} if a & 1 else set()
+        self.world.pass_time(b * 4.0)
+        self.world.refused = set()
+
+
+CALLS = (Play.ending, Play.orders, Play.cut_calls, Play.wait, Play.away)
+TURNS = (Play.cut_news, Play.proxy, Play.custody, Play.again, Play.wait, Play.away)
+LISTS = (Play.servers, Play.cut_list, Play.list_away, Play.list_anew, Play.spoilt_entry, Play.strange_server, Play.wait)
+CALLERS = (Play.collector, Play.flood, Play.gone_caller, Play.wait, Play.stand_still, Play.probes)
+MOVES = (Play.move, Play.refused, Play.ending, Play.servers, Play.proxy, Play.cut_news, Play.custody, Play.wait)
+ALL = tuple(dict.fromkeys(CALLS + TURNS + LISTS + CALLERS + MOVES))
+
+
+def programs(steps) -> list:
+    """One seed for each step alone, and one of all in turn."""
+    alone = [bytes([k, a, a * 7 % 256, a * 13 % 256]) * 2 for k in range(len(steps)) for a in (1, 10)]
+    return alone + [bytes(x for k in range(len(steps)) for x in (k, 3 + k, 5 * k, 40))]
+
+
+def play(name, about, steps, covers, **limits):
+    @register(name=name, about=about, seeds=lambda: programs(steps), covers=covers, engine="hypothesis", step=4,
+              most=96)
+    def run(data):
+        Play(steps, **limits).run(data)
+
+
+play("calls", "calls to the relay, every ending in every order", CALLS, ("net/relay",))
+play("turns", "the relay's news on two streams that break, come late and repeat", TURNS, ("net/news", "net/relay"),
+     news_streams=2)
+play("lists", "discovery's versions back and forth over watches that break", LISTS, ("net/discovery",))
+play("callers", "collectors, strangers, floods and probes", CALLERS, ("net/collectors", "net/probes"), callers=24,
+     slots=64)
+play("moves", "reloads to other addresses in the middle of everything", MOVES, ("net/relay", "net/news", "net/discovery"))
+play("world", "all of it at once", ALL, ("net", "rules"), news_streams=2)
+
+
+@register(name="deadlines", about="deadlines added, dropped and due in any order, against a sorted list",
+          seeds=lambda: [bytes([0, 9, 0, 3, 2, 5, 1, 0, 2, 20]), bytes([0, 1, 1, 0] * 60 + [2, 9])],
+          covers=("net/deadlines",), step=2, most=400)
+def deadlines(data):
+    draw, made, plain, rung, now = Draw(data), Deadlines(), [], [], 0.0
+    handles, serial = [], 0
+    while not draw.over:
+        kind, value = draw.below(4), draw.byte()
+        if kind in (0, 3):
+            at = now + value % 32 * (1 if kind == 0 else 0.25)
+            handles.append(made.add(at, lambda k=serial: rung.append(k)))
+            plain.append((at, serial))
+            serial += 1
+        elif kind == 1 and handles:
+            gone = value % len(handles)
+            made.drop(handles[gone])
+            made.drop(handles[gone])  # twice is once
+            plain = [p for p in plain if p[1] != gone]
+        else:
+            now += value % 16
+            due = sorted(p for p in plain if p[0] <= now)
+            plain = [p for p in plain if p[0] > now]
+            rung.clear()
+            for call in made.due(now):
+                call()
+            hold(rung == [k for _, k in due], "due", rung, "in place of", due)
+        first = min(plain)[0] if plain else None
+        hold(made.first() == first, "the first is", made.first(), "not", first)
+        hold(len(made.heap) <= 2 * len(plain) + 130, len(made.heap), "kept for", len(plain))
+
+
+@register(name="slots", about="numbered slots against a plain set", covers=("net/slots",), step=2, most=200,
+          seeds=lambda: [bytes([0, 0] * 6 + [1, 2, 1, 2, 0, 0]), bytes([1, 0, 0, 1, 0, 2])])
+def slots(data):
+    draw, made, held = Draw(data), Slots(5), {}
+    while not draw.over:
+        if draw.flag():
+            number = draw.below(5)
+            made.leave(number)
+            held.pop(number, None)
+        else:
+            item = object()
+            number = made.take(item)
+            hold((number is None) == (len(held) == 5), "slot", number, "with", len(held), "held")
+            if number is not None:
+                hold(number not in held, "slot", number, "was given twice")
+                held[number] = item
+            draw.byte()
+        hold(len(made) == len(held) and set(made) == set(held.values()), "slots differ")
+
+
+@register(name="events", about="a turn's failing events beside good ones: the good ones count, the look goes on",
+          covers=("net/assigner",), seeds=lambda: [bytes([0, 1, 2, 3] * 4), bytes([3, 3, 0, 0] * 3), bytes([1, 0] * 8)],
+          step=2, most=40)
+def events(data):
+    draw, play_ = Draw(data), Play((Play.wait,))
+    assigner, hub = play_.assigner, play_.hub
+    right, turns = assigner.door.controller.turn, [0]
+
+    def turn(now, events):
+        turns[0] += 1
+        if any(isinstance(e, core.Probed) and e.outcome == "odd" for e in events):
+            raise ZeroDivisionError("drawn")
+        return right(now, events)
+
+    assigner.door.controller.turn = turn
+    server = assigner.door.server("s1")
+    while not draw.over:
+        kind, number = draw.below(4), draw.byte() % 6
+        if kind < 2:
+            assigner.tell(core.Probed(server, "odd", 1.0))
+        if kind > 0:
+            play_.relay.leaves(number) if number in play_.relay.joined else play_.relay.comes(number)
+        play_.world.pass_time(40)
+    # It looks again without news, and what stood beside the failing ones was taken in.
+    before = turns[0]
+    play_.world.pass_time(REST)
+    hold(turns[0] - before > 20, "only", turns[0] - before, "turns after failed ones")
+    hold(not play_.world.disagreements(), *play_.world.disagreements())
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -1,12 +1,21 @@
 """The one place where configuration and settings are read, checked and given defaults."""
-import json
+import re
 from dataclasses import dataclass, field
 
+import orjson
+
 from . import interface as core
-from .fields import NUMBER, FieldError, clip, ms, take
+from .fields import FieldError, clip, figure, listed, ms, take, word
 
 REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "once"}
+GROUPS = {name: name for name in ("all", "zone", "cell")}
+LEVELS = {name: name for name in ("share", "rate", "none")}
+ASKED = {"push": False, "ask": True}
+SIZED = {"none": False, "live": False, "nominal": True, "rough": True}  # whether the list's sizes say something
 PREFIX = "ROUTER_"
+DAY = 86_400_000.0  # ms; no time in the settings is longer
+MANY = 1e12         # lines; more is no limit
+TABLES, PROXIES, CLASSES = 65_534, 65_536, 32
 
 
 class ConfigError(ValueError):
@@ -81,55 +90,66 @@
 
 
 def read_settings(raw: dict) -> core.Settings:
+    """The settings as the core has them. What is read is checked; keys that nothing reads may say what they like."""
     family, duty = take(raw, "familyInfo", dict, {}), take(raw, "obligations", dict, {})
     limits = take(raw, "limits", dict, {})
-    zonal = take(family, "classOwnZone", list, [])
+    zonal = listed(family, "classOwnZone", bool, [])
+    told = listed(raw, "requestClasses", dict)
+    if len(told) > CLASSES:
+        raise FieldError(f"field 'requestClasses' may name {CLASSES} classes, not {len(told)}")
     classes = [
         core.OperationClass(
-            quoted=ms(c, "promise"), patience=ms(c, "hardLimit"),
-            repeat=REPEATS.get(c.get("repeat"), "once"), group=take(c, "group", str, "all"),
-            window=ms(c, "window", 0.0), own_zone=k < len(zonal) and bool(zonal[k]))
-        for k, c in enumerate(take(raw, "requestClasses", list))]
+            quoted=ms(c, "promise", least=1e-3, most=DAY), patience=ms(c, "hardLimit", least=1e-3, most=DAY),
+            # A word that nobody knows must not pass for one that they meant, whichever way it errs.
+            repeat=word(c, "repeat", REPEATS, "side_effect"), group=word(c, "group", GROUPS, "all"),
+            window=ms(c, "window", 0.0, 0.0, 30 * DAY), own_zone=k < len(zonal) and zonal[k])
+        for k, c in enumerate(told)]
     return core.Settings(
-        classes=classes, zones=len(take(raw, "localities", list, [None])),
-        slices=take(family, "keyRanges", int, 0), one_owner=take(family, "oneOwner", bool, False),
-        lease=ms(family, "lease", 0.0), lingers=ms(family, "lingers", 0.0),
-        queue_limit=take(family, "pendingMax", NUMBER, 1e9),
-        channel_rate=take(family, "channelRate", NUMBER, 1e9), overhead=take(family, "overhead", NUMBER, 0.0),
-        push_delay=ms(family, "pushDelay", 0.0), message_cap=take(family, "updateCap", int, 0),
-        message_span=ms(family, "countedOver", 0.0), report_period=ms(family, "interval", 1000.0),
-        cold=ms(duty, "cold", 0.0),
-        cold_from=take(duty, "coldFrom", NUMBER, 1.0), overload=take(duty, "overloadFactor", NUMBER, 1e9),
-        ask=raw.get("registryMode") == "ask", ask_within=ms(duty, "askWithin", 0.0),
-        probes=take(limits, "probes", bool, False), levels=take(family, "throttleBy", str, "none"),
-        sized=raw.get("weightKind") in ("nominal", "rough"))
+        classes=classes, zones=len(listed(raw, "localities", str, [""])),
+        slices=figure(family, "keyRanges", 0, 0, TABLES, int), one_owner=take(family, "oneOwner", bool, False),
+        lease=ms(family, "lease", 0.0, 0.0, DAY), lingers=ms(family, "lingers", 0.0, 0.0, DAY),
+        queue_limit=figure(family, "pendingMax", 1e9, 1.0, MANY),
+        channel_rate=figure(family, "channelRate", 1e9, 1e-3, MANY),
+        overhead=figure(family, "overhead", 0.0, 0.0, 1e6),
+        push_delay=ms(family, "pushDelay", 0.0, 0.0, DAY), message_cap=figure(family, "updateCap", 0, 0, 10 ** 9, int),
+        message_span=ms(family, "countedOver", 0.0, 0.0, DAY), report_period=ms(family, "interval", 1000.0, 1.0, DAY),
+        cold=ms(duty, "cold", 0.0, 0.0, DAY), cold_from=figure(duty, "coldFrom", 1.0, 0.0, 1.0),
+        overload=figure(duty, "overloadFactor", 1e9, 1e-3, 1e9),
+        ask=word(raw, "registryMode", ASKED, "push"), ask_within=ms(duty, "askWithin", 0.0, 0.0, DAY),
+        probes=take(limits, "probes", bool, False), levels=word(family, "throttleBy", LEVELS, "none"),
+        sized=word(raw, "weightKind", SIZED, "none"))
 
 
 def read_words(raw: dict) -> dict:
-    names = [take(c, "name", str, "") for c in take(raw, "requestClasses", list)]
-    return {"zones": take(raw, "localities", list, []), "classes": names, "kinds": take(raw, "kinds", list, []),
-            "reports": take(take(raw, "telemetry", dict, {}), "source", str, "none") != "none",
-            "proxies": take(take(raw, "familyInfo", dict, {}), "dataPlaneSize", int, 0)}
+    words = {"zones": listed(raw, "localities", str, []), "kinds": listed(raw, "kinds", str, []),
+             "classes": [take(c, "name", str, "") for c in take(raw, "requestClasses", list)],
+             "reports": take(take(raw, "telemetry", dict, {}), "source", str, "none") != "none",
+             "proxies": figure(take(raw, "familyInfo", dict, {}), "dataPlaneSize", 0, 0, PROXIES, int)}
+    for key, field_name in (("zones", "localities"), ("classes", "requestClasses"), ("kinds", "kinds")):
+        # A message that names one of two alike would be counted for either.
+        twice = [name for k, name in enumerate(words[key]) if name in words[key][:k]]
+        if twice:
+            raise FieldError(f"field '{field_name}' has the name {twice[0][:40]!r} twice")
+    return words
 
 
 def address(text: str, key: str) -> tuple:
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigError(f"'{key}' must be host:port, not '{text[:60]}'")
+    if not host or not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) < 65536:
+        raise ConfigError(f"'{key}' must be host:port, not {text[:60]!r}")
     return host.strip("[]"), int(port)
 
 
 def read_limits(raw: dict, settings: dict) -> Limits:
-    sockets = take(raw, "sockets", int, Limits.sockets)
-    if sockets < Limits.sockets_least:
-        raise ConfigError(f"'limits.sockets' must be {Limits.sockets_least} at least, not {sockets}")
-    memory = float(take(raw, "memory_mb", NUMBER, Limits.memory_mb))
+    sockets = figure(raw, "sockets", Limits.sockets, Limits.sockets_least, 10 ** 7, int)
+    memory = float(figure(raw, "memory_mb", Limits.memory_mb, 8.0, 1e7))
     slots = min(Limits.slots, sockets - min(Limits.socket_reserve, sockets // 3))
     return Limits(memory_mb=memory, sockets=sockets, slots=slots,
                   buffers=memory * 0.25e6,
                   callers=min(Limits.callers, slots // 2), accepts=min(Limits.accepts, slots // 8),
                   probes_open=min(Limits.probes_open, slots // 4),
-                  probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect))
+                  probe_connect=ms(take(settings, "limits", dict, {}), "connectTimeout", Limits.probe_connect,
+                                   1.0, 60_000.0))
 
 
 def read_config(raw: dict, environ: dict) -> Config:
@@ -139,13 +159,10 @@
     for key in ("name", "listen", "discovery"):
         told = environ.get(PREFIX + key.upper())
         if told is not None and told != take(raw, key, str):
-            raise ConfigError(f"'{key}' is '{raw[key][:60]}', but {PREFIX}{key.upper()} is '{told[:60]}'")
-    try:
-        seed = int(take(raw, "seed", str), 16)
-    except FieldError:
-        raise
-    except ValueError:
-        raise ConfigError(f"'seed' must be hexadecimal, not '{raw['seed'][:60]}'") from None
+            raise ConfigError(f"'{key}' is {raw[key][:60]!r}, but {PREFIX}{key.upper()} is {told[:60]!r}")
+    seed = take(raw, "seed", str)
+    if not re.fullmatch("[0-9a-fA-F]{1,32}", seed):
+        raise ConfigError(f"'seed' must be hexadecimal, not {seed[:60]!r}")
     settings = take(raw, "settings", dict)
     made = read_settings(settings)
     if not made.classes:
@@ -154,7 +171,7 @@
         name=take(raw, "name", str), listen=address(take(raw, "listen", str), "listen"),
         discovery=address(take(raw, "discovery", str), "discovery"),
         relay=address(take(take(raw, "distributor", dict), "address", str), "distributor.address"),
-        seed=seed, known=take(raw, "known", dict, {}), settings=made, words=read_words(settings),
+        seed=int(seed, 16), known=take(raw, "known", dict, {}), settings=made, words=read_words(settings),
         limits=read_limits(take(raw, "limits", dict, {}), settings))
 
 
@@ -165,12 +182,19 @@
         raise ConfigError(f"{PREFIX}CONFIG is not set: it must name the configuration's file")
     try:
         with open(path, "rb") as file:
-            raw = json.load(file)
+            data = file.read()
     except OSError as error:
         raise ConfigError(f"{PREFIX}CONFIG: {path}: {error.strerror}") from None
+    return read(data, f"{PREFIX}CONFIG: {path}", {} if again else environ)
+
+
+def read(data: bytes, where: str, environ: dict) -> Config:
+    """The configuration of a file's bytes; `where` is what the errors call the file."""
+    try:
+        raw = orjson.loads(data)
     except ValueError as error:
-        raise ConfigError(f"{PREFIX}CONFIG: {path}: not JSON: {error}") from None
+        raise ConfigError(f"{where}: not JSON: {error}") from None
     try:
-        return read_config(raw, {} if again else environ)
+        return read_config(raw, environ)
     except FieldError as error:
         raise ConfigError(str(error)) from None
--- a/havendyke/fields.py
+++ b/havendyke/fields.py
@@ -1,6 +1,7 @@
 """A field of a message or of the configuration: taken and checked, or an error that names it."""
 
 NUMBER = (int, float)
+HUGE = 1e30  # beyond any figure that is meant, and short of what a float cannot hold
 
 
 class FieldError(ValueError):
@@ -28,13 +29,34 @@
     return value if isinstance(value, bool) else bool(take(message, name, int, default))
 
 
-def word(message: object, name: str, table: dict):
-    value = take(message, name, str)
+def word(message: object, name: str, table: dict, default=...):
+    """What a table has for a word; `default` is the word that holds where the field is left out."""
+    value = take(message, name, str, default)
     if value not in table:
-        raise FieldError(f"field '{name}' has the unknown value '{value[:40]}'")
+        raise FieldError(f"field '{name}' has the unknown value {value[:40]!r}")
     return table[value]
 
 
-def ms(message: object, name: str, default=...) -> float:
-    """Nanoseconds on the wire and in the settings, milliseconds inside."""
-    return take(message, name, NUMBER, default if default is ... else default * 1e6) / 1e6
+def figure(message: object, name: str, default=..., least: float = -HUGE, most: float = HUGE,
+           kind: type | tuple = NUMBER):
+    """A number from `least` to `most`, both included; what is not finite is out of range. Left out it is the default,
+    which need not lie between them."""
+    value = take(message, name, kind, default)
+    if value is default or least <= value <= most:  # false for NaN
+        return value
+    raise FieldError(f"field '{name}' must be from {least:g} to {most:g}, not {str(value)[:40]}")
+
+
+def ms(message: object, name: str, default=..., least: float = -HUGE, most: float = HUGE) -> float:
+    """Nanoseconds on the wire and in the settings, milliseconds inside; the bounds and the default are ms."""
+    value = figure(message, name, None if default is not ... else ..., least * 1e6, most * 1e6)
+    return default if value is None else value / 1e6
+
+
+def listed(message: object, name: str, kind: type, default=...) -> list:
+    """A list whose items are all of one kind."""
+    made = take(message, name, list, default)
+    for k, item in enumerate(made):
+        if type(item) is not kind:
+            raise FieldError(f"field '{name}[{k}]' has the wrong type: {clip(item)}")
+    return made
--- /dev/null
+++ b/havendyke/lab/hub.py
@@ -0,0 +1,107 @@
+"""A hub whose clock and transports the caller moves: the real front runs on it without a socket or a second passing."""
+from dataclasses import replace
+
+from ..config import Limits
+from ..net.buffer import Budget
+from ..net.deadlines import Deadlines
+from ..net.hub import Connection, Hub
+from ..net.slots import Slots
+
+
+class Transport:
+    """What a connection writes, kept; `unread` is what its peer has not taken yet (bytes). `heard()` is called after
+    a write, `ended()` once the connection was let go."""
+
+    def __init__(self, heard=None, ended=None):
+        self.written, self.aborted, self.unread, self.heard, self.ended = b"", False, 0, heard, ended
+
+    def write(self, data: bytes):
+        self.written += data
+        if self.heard:
+            self.heard()
+
+    def abort(self):
+        if self.ended and not self.aborted:
+            self.ended()
+        self.aborted = True
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread
+
+
+class LabHub(Hub):
+    """Times are ms, from 1000 on; `limits` are fields of `Limits`. Connections asked for are in `made`, oldest first;
+    none comes up until `up` or `open` says so, or `dialled(connection)`, where it is set, does it."""
+
+    def __init__(self, **limits):
+        self.limits = replace(Limits(), **limits)
+        self.counters, self.logged, self.time, self.made, self.later = {}, [], 1000.0, [], []
+        self.deadlines, self.slots, self.loop = Deadlines(), Slots(self.limits.slots), self
+        self.budget, self.born, self.dialled = Budget(1e6), 0.0, None
+
+    def log(self, event, **more):
+        self.logged.append((event, more))
+
+    def now(self) -> float:
+        return self.time
+
+    def wall(self) -> float:
+        return -5000.0
+
+    def arm(self):
+        pass
+
+    def call_soon(self, call):
+        self.later.append(call)
+
+    def connect(self, address, peer, wait=None):
+        made = Connection(self, peer, None)
+        made.number = self.slots.take(made)
+        if made.number is None:
+            self.count("slots_full")
+            return None
+        made.deadline = self.after(wait or self.limits.connect, lambda: made.close("timeout"))
+        made.address = address
+        self.made.append(made)
+        if self.dialled:
+            self.dialled(made)
+        return made
+
+    def pass_time(self, ms: float):
+        end = self.time + ms
+        while (first := self.deadlines.first()) is not None and first <= end:
+            self.time = max(self.time, first)
+            for call in self.deadlines.due(self.time):
+                call()
+            self.run()
+        self.time = end
+
+    def run(self):
+        while self.later:
+            self.later.pop(0)()
+
+    def standing(self, *names) -> list:
+        """The connections of these peers that are not over, oldest first; those that are over are forgotten."""
+        self.made = [c for c in self.made if not c.over]
+        return [c for c in self.made if c.peer.name in names]
+
+    @staticmethod
+    def up(connection):
+        if connection.transport is None:
+            connection.connection_made(Transport())
+        return connection
+
+    def open(self, name: str, up: bool = True):
+        """The newest connection of these peers that is not over; brought up first."""
+        made = [c for c in self.made if c.peer.name == name and not c.over][-1]
+        return self.up(made) if up else made
+
+
+def feed(connection, data: bytes):
+    """Bytes as a socket brings them: no more at a time than the room there is."""
+    while data and not connection.over:
+        room = connection.get_buffer(-1)
+        count = min(len(room), len(data))
+        room[:count] = data[:count]
+        connection.buffer_updated(count)
+        data = data[count:]
--- /dev/null
+++ b/havendyke/lab/plane.py
@@ -0,0 +1,193 @@
+"""The proxies, their tables, the store and the channel to them, as a model in the caller's time.
+
+Orders of a `Controller` go in by `order`, what the proxies answer comes out of `advance` as events; `pick` says where
+a proxy sends. Written from our own documents; the model is plain where they are silent: nothing is lost but with a
+stream, and messages of one proxy keep their order.
+"""
+from collections import deque
+from dataclasses import dataclass, field
+
+from .. import interface as core
+
+
+@dataclass(slots=True)
+class View:
+    """What one proxy holds. `heard_at`: when the last message that reached it was ordered."""
+    proxy: object
+    joined: bool = False
+    stream: int = 0
+    rate: float = 1.0
+    zone: int = 0
+    tables: dict = field(default_factory=dict)   # by slice, {server: weight}
+    out: set = field(default_factory=set)
+    levels: dict = field(default_factory=dict)   # by class mask, (level, further)
+    bound: dict = field(default_factory=dict)    # tables that it was bound to, their classes; without slices only
+    read_at: float = -1e9                        # when it has read the store
+    heard_at: float = -1e9
+    joined_at: float = -1e9
+    parted_at: float = -1e9
+
+    def pick(self, piece) -> dict:
+        """The part of its operations that goes to each server."""
+        open_to = {s: w for s, w in self.tables.get(piece, {}).items() if s not in self.out and w > 0}
+        total = sum(open_to.values())
+        return {s: w / total for s, w in open_to.items()} if total > 0 else {}
+
+
+@dataclass(slots=True)
+class Message:
+    view: View
+    stream: int
+    orders: list
+    mark: int | None
+    lines: int
+    ordered: float
+    leaves: float
+    arrives: float
+
+
+class Plane:
+    """`settings` are the core's own; `sync` (ms): how long a proxy takes to read the store; `chance()` from 0 to 1."""
+
+    def __init__(self, settings, chance, sync=(100.0, 500.0)):
+        self.settings, self.chance, self.sync = settings, chance, sync
+        self.now, self.slow, self.free_at = 0.0, 1.0, 0.0
+        self.views, self.store, self.charge = {}, {}, {}  # charge: slices in charge, since when
+        self.channel, self.travelling, self.rereads = deque(), [], []
+        self.written, self.standing = {}, {}              # by proxy, when messages to it were written; levels
+
+    def view(self, proxy) -> View:
+        return self.views.setdefault(proxy, View(proxy))
+
+    def joined(self) -> list:
+        return [v for v in self.views.values() if v.joined]
+
+    def join(self, proxy, zone, rate, fresh):
+        view = self.view(proxy)
+        view.joined, view.zone, view.rate, view.joined_at, view.bound = True, zone, rate, self.now, {}
+        view.stream += 1
+        if fresh:
+            view.out, view.levels = set(), {}
+        if self.settings.slices:
+            view.read_at = self.now + self.between(*self.sync)
+            self.rereads.append((view.read_at, view, view.stream, None))
+        else:
+            view.tables = {}
+        return core.Joined(proxy, zone, rate, fresh)
+
+    def part(self, proxy):
+        view = self.view(proxy)
+        view.joined, view.parted_at = False, self.now
+        view.stream += 1
+        return core.Parted(proxy)
+
+    def give(self, piece, lines: dict) -> list:
+        """Into our charge, with these lines in the store; the proxies read them anew."""
+        self.store[piece], self.charge[piece] = dict(lines), self.now
+        for view in self.joined():
+            self.rereads.append((self.now + self.between(*self.sync), view, view.stream, piece))
+        return [core.Custody(piece, True)] + [core.Stored(piece, s, w) for s, w in lines.items()]
+
+    def take(self, piece):
+        self.charge.pop(piece, None)
+        return core.Custody(piece, False)
+
+    def between(self, least, most):
+        return least + (most - least) * self.chance()
+
+    # Orders and the channel
+
+    def order(self, orders: list):
+        """What one turn ordered: the store changes at once, the proxies when their message arrives."""
+        kept, binds, mark = [], {}, None
+        for o in orders:
+            match o:
+                case core.Line() | core.Clear():
+                    if not self.settings.slices or o.slice in self.charge:
+                        kept.append(o)
+                        self.lay(self.store.setdefault(o.slice, {}), o)
+                case core.Withdraw() | core.Tries():
+                    kept.append(o)
+                    if type(o) is core.Tries:
+                        older = {mask: t for mask, t in self.standing.items() if mask & ~o.classes}
+                        self.standing = older | {o.classes: o}
+                case core.Bind():
+                    binds.setdefault(o.proxy, []).append(o)
+                case core.Mark():
+                    mark = o
+        for view in self.joined():
+            mine = [o for o in kept if self.concerns(view, o)] + binds.get(view.proxy, [])
+            if mine or mark and mark.everyone:
+                self.send(view, mine, mark)
+
+    def concerns(self, view, order) -> bool:
+        if self.settings.slices or type(order) is core.Tries:
+            return True
+        return type(order) is core.Withdraw or order.slice in view.bound
+
+    def send(self, view, orders, mark):
+        lines = self.settings.overhead + len(orders) + (mark is not None) + len(self.standing)
+        for o in orders:
+            if type(o) is core.Bind:
+                lines += len(self.store.get(o.slice, {})) + len(self.standing)
+                view.bound[o.slice] = o.classes
+        pace = self.settings.channel_rate / 1000.0 / self.slow
+        begins = max(self.now, self.free_at)
+        self.free_at = begins + lines / pace
+        before = max((m.arrives for m in self.travelling + list(self.channel) if m.view is view), default=0.0)
+        arrives = max(self.free_at + self.settings.push_delay * self.between(0.5, 1.5), before)
+        self.channel.append(Message(view, view.stream, orders, mark and mark.number, lines, self.now, self.free_at,
+                                    arrives))
+        self.written.setdefault(view.proxy, deque()).append(self.now)
+
+    def waiting(self) -> float:
+        """Lines that wait in the channel."""
+        return sum(m.lines for m in self.channel if m.stream == m.view.stream and m.leaves > self.now)
+
+    @staticmethod
+    def lay(table, order):
+        if type(order) is core.Clear:
+            table.clear()
+        elif order.weight > 0:
+            table[order.server] = order.weight
+        else:
+            table.pop(order.server, None)
+
+    def advance(self, now: float) -> list:
+        """Time goes on to `now`; what the proxies answered meanwhile, in order."""
+        self.now, answers, due = now, [], []
+        while self.channel and self.channel[0].leaves <= now:
+            self.travelling.append(self.channel.popleft())
+        for m in self.travelling:
+            if m.stream == m.view.stream and max(m.arrives, m.view.read_at) <= now:
+                due.append((max(m.arrives, m.view.read_at), 1, m))
+        self.travelling = [m for m in self.travelling if m.stream == m.view.stream
+                           and max(m.arrives, m.view.read_at) > now]
+        for at, view, stream, piece in self.rereads:
+            if at <= now and stream == view.stream:
+                due.append((at, 0, (view, piece)))
+        self.rereads = [r for r in self.rereads if r[0] > now and r[2] == r[1].stream]
+        for at, kind, what in sorted(due, key=lambda d: (d[0], d[1])):
+            if kind == 0:
+                view, piece = what
+                for key in [piece] if piece is not None else list(self.store):
+                    view.tables[key] = dict(self.store.get(key, {}))
+            else:
+                self.apply(what)
+                if what.mark is not None:
+                    answers.append(core.Answered(what.view.proxy, what.mark, at - what.ordered))
+        return answers
+
+    def apply(self, message):
+        view, view.heard_at = message.view, message.ordered
+        for o in message.orders:
+            match o:
+                case core.Line() | core.Clear():
+                    self.lay(view.tables.setdefault(o.slice, {}), o)
+                case core.Withdraw():
+                    (view.out.add if o.out else view.out.discard)(o.server)
+                case core.Tries():
+                    view.levels[o.classes] = (o.level, o.further)
+                case core.Bind():
+                    view.tables[o.slice] = dict(self.store.get(o.slice, {}))
+
--- /dev/null
+++ b/havendyke/lab/rules.py
@@ -0,0 +1,178 @@
+"""The five rules as code, over a model of the proxies: one checker for every front and every target.
+
+It hears what the controller was told and ordered (`told`, `started`, `ordered`) and looks at a `Plane` as time goes
+on (`look`); each breach is one `Breach`. It keeps the rules' own account and asks the controller nothing.
+
+1. bare: a joined proxy has a line to pick for each slice in charge, while a warm server is listed as ready;
+2. twice: no order lets a class be tried again that might take effect twice; of a sole owner's slice, no two servers
+   get writes at a time;
+3. drain: what was told to drain or be gone gets nothing from joined proxies once the grace is over;
+4. cold: all proxies together never bring a cold server the multiple of what it can do, over a window;
+5. queue: no more lines wait than the limit, no more messages go to a proxy than the cap.
+"""
+from collections import deque
+from dataclasses import dataclass
+
+from .. import interface as core
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """The rules' figures, ms. `slack` (a share) is what chance and the steps of `look` may add to cold servers' load."""
+    bare: float = 2500.0
+    grace: float = 2300.0
+    fall: float = 1500.0
+    slack: float = 0.05
+
+
+@dataclass(frozen=True)
+class Breach:
+    rule: str
+    at: float
+    said: str
+
+    def __str__(self):
+        return f"{self.rule} at {self.at / 1000:.2f} s: {self.said}"
+
+
+class Rules:
+    """`usual`: the operations a second that a warm server of size 1 can do, in the unit of `demand` in `look`."""
+
+    def __init__(self, settings, bounds: Bounds = Bounds(), usual: float = 1.0):
+        self.settings, self.bounds, self.usual, self.now = settings, bounds, usual, 0.0
+        self.state, self.size, self.start, self.start_told = {}, {}, {}, {}
+        self.closed_at, self.bare_at, self.cut_at = {}, {}, None
+        self.load, self.writes, self.breaches = {}, {}, []
+
+    def breach(self, rule, *said):
+        self.breaches.append(Breach(rule, self.now, " ".join(str(s) for s in said)))
+
+    # What the controller hears and orders
+
+    def told(self, now, event):
+        """A list that the controller was told."""
+        self.now = now
+        if event.scope == "failed":
+            return
+        named = {e.server for e in event.entries}
+        for server in [s for s in self.state if s not in named] if event.scope != "changes" else []:
+            self.changed(server, "gone")
+        for e in event.entries:
+            self.changed(e.server, e.state)
+            self.size[e.server] = e.size if self.settings.sized and e.size > 0 else 1.0
+            started = -1e12 if e.started is None else e.started
+            if started > self.start.get(e.server, -1e13) + 1:
+                self.start[e.server], self.start_told[e.server] = started, now
+
+    def changed(self, server, state):
+        before, self.state[server] = self.state.get(server), state
+        if state == "ready":
+            self.closed_at.pop(server, None)
+        elif before in (None, "ready"):
+            self.closed_at[server] = self.now
+
+    def reached(self, now, yes: bool):
+        """Time limits stand still while orders cannot leave."""
+        self.now = now
+        if not yes:
+            self.cut_at = now if self.cut_at is None else self.cut_at
+        elif self.cut_at is not None:
+            gone, self.cut_at = now - self.cut_at, None
+            for times in (self.closed_at, self.bare_at):
+                for key in times:
+                    times[key] += gone
+
+    def ordered(self, now, orders, plane):
+        self.now = now
+        for o in orders:
+            if type(o) is core.Tries and o.further >= 2:
+                for k, c in enumerate(self.settings.classes):
+                    if o.classes >> k & 1 and not may_repeat(c):
+                        self.breach("twice", "class", k, "may be tried again after any failure")
+        if plane.waiting() > self.settings.queue_limit:
+            self.breach("queue", round(plane.waiting()), "lines wait, the limit is", self.settings.queue_limit)
+        if self.settings.message_cap:
+            for proxy, times in plane.written.items():
+                while times and times[0] <= now - self.settings.message_span:
+                    times.popleft()
+                if len(times) > self.settings.message_cap:
+                    self.breach("queue", len(times), "messages to proxy", proxy.id)
+
+    # What stands at the proxies
+
+    def look(self, now, plane, demand: dict):
+        """`demand`: operations a second, by slice, of all proxies together, in the unit of `usual`."""
+        past, self.now = now - self.now, now
+        views, pieces = plane.joined(), plane.charge
+        total = sum(v.rate for v in views) or 1.0
+        warm = any(state == "ready" and now - self.start[s] >= self.settings.cold for s, state in self.state.items())
+        brought, sole = {}, {}
+        for view in views:
+            for piece, since in pieces.items():
+                picked = view.pick(piece)
+                self.bare(view, piece, since, warm and not picked)
+                for server, part in picked.items():
+                    self.drain(view, piece, since, server)
+                    sole.setdefault(piece, set()).add(server)
+                    knows = view.heard_at >= self.start_told.get(server, 0.0) or \
+                        now - self.start_told.get(server, 0.0) > self.bounds.grace
+                    if knows:
+                        brought[server] = brought.get(server, 0.0) + part * demand.get(piece, 0.0) * view.rate / total
+        for server in self.start:
+            self.cold(server, brought.get(server, 0.0), past)
+        if self.settings.one_owner:
+            # A proxy that lost its stream goes on writing for the lease.
+            for view in [v for v in plane.views.values() if not v.joined and now - v.parted_at < self.settings.lease]:
+                for piece in pieces:
+                    sole.setdefault(piece, set()).update(view.pick(piece))
+            for piece, servers in sole.items():
+                self.owner(piece, servers)
+
+    def bare(self, view, piece, since, empty):
+        key = (view.proxy, piece)
+        if not empty:
+            self.bare_at.pop(key, None)
+            return
+        begun = self.bare_at.setdefault(key, self.now)
+        begun = max(begun, view.joined_at, since)
+        if self.cut_at is None and self.now - begun > self.bounds.bare:
+            self.breach("bare", "proxy", view.proxy.id, "has nothing for slice", piece.id, "since", begun)
+            self.bare_at[key] = self.now
+
+    def drain(self, view, piece, since, server):
+        told = self.closed_at.get(server)
+        if told is None or self.cut_at is not None:
+            return
+        late = self.now - max(told, view.joined_at, since)
+        if late > self.bounds.grace:
+            self.breach("drain", "proxy", view.proxy.id, "still sends for slice", piece.id, "to", server.id, round(late),
+                        "ms after it was told")
+
+    def cold(self, server, brought, past):
+        age = self.now - self.start[server]
+        if not 0 <= age < self.settings.cold or self.state.get(server) == "gone":
+            self.load.pop(server, None)
+            return
+        warmth = self.settings.cold_from + (1 - self.settings.cold_from) * age / self.settings.cold
+        may = self.settings.overload * self.usual * self.size.get(server, 1.0) * warmth
+        window = self.load.setdefault(server, deque())
+        window.append((self.now, brought * past, may * past))
+        while window and window[0][0] <= self.now - self.bounds.fall:
+            window.popleft()
+        sent, most = sum(w[1] for w in window), sum(w[2] for w in window)
+        if self.now - window[0][0] > 0.9 * self.bounds.fall and sent > most * (1 + self.bounds.slack):
+            self.breach("cold", server.id, "is brought", round(sent / max(most, 1e-9), 2), "of what fells it")
+            window.clear()
+
+    def owner(self, piece, servers):
+        last = self.writes.setdefault(piece, {})
+        for server in servers:
+            for other, at in last.items():
+                if other is not server and self.now - at < self.settings.lingers:
+                    self.breach("twice", "slice", piece.id, "is written at", server.id, "and", other.id)
+            last[server] = self.now
+
+
+def may_repeat(c) -> bool:
+    """Whether an operation of this class can be carried out again without a second effect."""
+    return c.repeat == "safe" or c.repeat == "keyed" and c.group == "all" and c.window >= c.patience
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -22,7 +22,7 @@
     def __init__(self, config: Config, hub: Hub):
         self.hub, self.door = hub, Door(config.settings, config.seed)
         self.started = self.config = config
-        self.messages = Messages(config, self.door, hub.wall)
+        self.messages = Messages(config, self.door, hub.wall, hub.now)
         self.relay = Relay(hub, config.relay, self.messages, self.tell)
         version = -1
         if config.known:
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -66,7 +66,7 @@
 class Discovery:
     def __init__(self, hub, address, messages, tell, version):
         self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
-        self.version, self.questions, self.away = version, [], False
+        self.version, self.questions, self.away, self.asking = version, [], False, None
         self.again = Backoff(hub.limits.discovery_again, 16 * hub.limits.discovery_again)
 
     def start(self):
@@ -96,12 +96,22 @@
         self.questions.append(question)
         return True
 
+    def ask_whole(self, wait):
+        """The whole list once, however many have reason to ask for it."""
+        if self.asking is None and all(q.follow for q in self.questions if q.address == self.address):
+            self.asking = self.hub.after(wait, self.asked)
+
+    def asked(self):
+        self.asking = None
+        if not self.ask(False):
+            self.ask_whole(self.hub.limits.discovery_again)
+
     def object(self, question, told):
         before = self.hub.counters.get("bad_entries", 0)
         event, version = self.messages.members(told, spoilt=self.spoilt)
         if self.hub.counters.get("bad_entries", 0) > before:
             # What it was to tell would be lost with it, a drain perhaps: the whole list has it again.
-            self.hub.after(self.again.next(), lambda: self.ask(False))
+            self.ask_whole(self.again.next())
         elif event.scope == "whole":
             self.again.reset()
         # A watch tells all since its last object, so what a sooner one has told is left out here. A version
@@ -134,7 +144,11 @@
             self.hub.log("discovery_lost", why=why, follow=question.follow)
         if not question.follow:
             if why not in ("done", "moved"):
-                self.hub.after(self.hub.limits.discovery_again, lambda: self.ask(False))
+                self.ask_whole(self.hub.limits.discovery_again)
         else:
+            if why != "moved" and not any(q.follow and q.sound for q in self.questions if q.address == self.address):
+                # With the last watch discovery itself may have gone, and its versions with it: a new one at the same
+                # version, with another list, would tell a watch of ours nothing.
+                self.ask_whole(self.hub.limits.discovery_again)
             # Silent ones have waited long enough.
             self.hub.after(0.0 if why in ("silent", "done") else self.hub.limits.discovery_again, self.watch)
--- a/havendyke/net/http.py
+++ b/havendyke/net/http.py
@@ -1,7 +1,14 @@
-"""HTTP/1.1 answers, whole, in chunks or up to the connection's end; touches no socket."""
+"""HTTP/1.1 answers, whole, in chunks or up to the connection's end; touches no socket. As RFC 9112 has them; what it
+leaves to the receiver is refused where two readers could take it differently."""
+import re
+
 from ..fields import FieldError
 from .buffer import Buffer, TooLong
 
+STATUS = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9][0-9])( .*)?", re.S)
+LENGTH, CHUNK_SIZE = re.compile(rb"[0-9]{1,15}"), re.compile(rb"[0-9a-fA-F]{1,12}")
+LINES = 100  # of all heads and the trailer of one answer: interim ones and trailers could go on for good
+
 HEAD, SIZED, CHUNK, CHUNK_END, TRAILER, REST, DONE = range(7)
 
 
@@ -14,7 +21,8 @@
 
     def __init__(self, buffer: Buffer, head: int):
         self.buffer, self.most, self.state = buffer, head, HEAD
-        self.status, self.left, self.seen = 0, 0, 0
+        self.status, self.left, self.seen, self.lines = 0, 0, 0, 0
+        self.fields, self.last = {}, None
 
     def line(self):
         data, start = self.buffer.data, self.buffer.start
@@ -27,28 +35,52 @@
         self.seen, self.buffer.start = 0, stop + 1
         return bytes(data[start:stop]).rstrip(b"\r")
 
+    def counted(self):
+        self.lines += 1
+        if self.lines > LINES:
+            raise TooLong(f"over {LINES} head lines")
+
     def head(self, line: bytes):
         if not self.status:
-            parts = line.split(b" ", 2)
-            if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+            told = STATUS.fullmatch(line)
+            if told is None:
                 raise FieldError(f"status line {line[:60]!r}")
-            self.status, self.fields = int(parts[1]), {}
+            self.status, self.fields, self.last = int(told[1]), {}, None
         elif line:
-            name, colon, told = line.partition(b":")
-            if not colon:
-                raise FieldError(f"head line {line[:60]!r}")
-            self.fields[name.strip().lower()] = told.strip()
-            if len(self.fields) > 100:
-                raise TooLong("over 100 head lines")
-        elif 100 <= self.status < 200:
+            self.counted()
+            self.field(line)
+        elif self.status < 200:
+            self.counted()
             self.status = 0
-        elif self.fields.get(b"transfer-encoding", b"").lower() == b"chunked":
+        else:
+            self.framing()
+
+    def field(self, line: bytes):
+        if line[:1] in b" \t":
+            # An old way to go on with the line before; read by itself it would be a field of its own.
+            if self.last is None:
+                raise FieldError(f"head line {line[:60]!r}")
+            self.fields[self.last][-1] += b" " + line.strip()
+            return
+        name, colon, told = line.partition(b":")
+        if not colon:
+            raise FieldError(f"head line {line[:60]!r}")
+        self.last = name.strip().lower()
+        self.fields.setdefault(self.last, []).append(told.strip())
+
+    def framing(self):
+        """How the body ends; where two fields say it differently, neither is believed."""
+        codings = {told.lower() for told in self.fields.get(b"transfer-encoding", ())}
+        lengths = set(self.fields.get(b"content-length", ()))
+        if codings:
+            if codings != {b"chunked"}:
+                raise FieldError(f"transfer-encoding {sorted(codings)!r}"[:100])
             self.state = CHUNK
-        elif b"content-length" in self.fields or self.status in (204, 304):
-            told = self.fields.get(b"content-length", b"0")
-            if not told.isdigit():
-                raise FieldError(f"content-length {told[:60]!r}")
-            self.left = int(told)
+        elif lengths or self.status in (204, 304):
+            told = lengths or {b"0"}
+            if len(told) > 1 or not LENGTH.fullmatch(min(told)):
+                raise FieldError(f"content-length {sorted(told)!r}"[:100])
+            self.left = int(min(told))
             self.state = SIZED if self.left else DONE
         else:
             self.state = REST
@@ -78,13 +110,12 @@
                 self.state = CHUNK
             elif self.state == CHUNK:
                 size = line.partition(b";")[0].strip()
-                try:
-                    self.left = int(size, 16)
-                except ValueError:
-                    self.left = -1
-                if self.left < 0 or not size.isalnum():
+                if not CHUNK_SIZE.fullmatch(size):
                     raise FieldError(f"a chunk's size is {line[:20]!r}")
+                self.left = int(size, 16)
                 self.state = CHUNK if self.left else TRAILER
-            elif not line:  # the end of what may follow the last chunk
+            elif line:
+                self.counted()
+            else:  # the end of what may follow the last chunk
                 self.state = DONE
         return None
--- a/havendyke/net/messages.py
+++ b/havendyke/net/messages.py
@@ -4,7 +4,7 @@
 from .. import interface as core
 from ..config import Config
 from ..door import Door
-from ..fields import NUMBER, FieldError, clip, take, word
+from ..fields import NUMBER, FieldError, clip, figure, take, word
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 LOADS = {"util": "busy", "qps": "answers", "inflight": "held", "queue": "waiting", "latency_ms": "service",
@@ -17,8 +17,11 @@
 
 
 def number(told, name: str, most: float) -> float:
-    """From 0 to `most`; what is no number, or not a finite one, never gets further."""
+    """From 0 to `most`; what is no number, or not a finite one, never gets further. Nor do forms that Python alone
+    reads: underscores, blanks round it, digits of other scripts."""
     try:
+        if not told.isascii() or "_" in told or told != told.strip():
+            raise ValueError
         made = float(told)
     except ValueError:
         raise FieldError(f"field '{name}' is no number: {clip(told)}") from None
@@ -29,7 +32,7 @@
 
 def whole(told: dict, name: str, most: int) -> int:
     value = take(told, name, str)
-    if not value.isdecimal() or len(value) > 15 or int(value) > most:
+    if not (value.isdecimal() and value.isascii()) or len(value) > 15 or int(value) > most:
         raise FieldError(f"field '{name}' is no whole number up to {most}: {clip(value)}")
     return int(value)
 
@@ -57,10 +60,10 @@
 class Messages:
     """Reads and writes for one door; it keeps which ids the settings and the list allow."""
 
-    def __init__(self, config: Config, door: Door, wall):
-        """`wall()`: what to add to Unix milliseconds to get the clock's."""
+    def __init__(self, config: Config, door: Door, wall, now):
+        """`wall()`: what to add to Unix milliseconds to get the clock's; `now()`: the clock."""
         words = config.words
-        self.door, self.wall, self.settings, self.limits = door, wall, config.settings, config.limits
+        self.door, self.wall, self.now, self.settings, self.limits = door, wall, now, config.settings, config.limits
         self.zones = {name: k for k, name in enumerate(words["zones"])}
         self.classes = {name: k for k, name in enumerate(words["classes"])}
         self.kinds = {name: k for k, name in enumerate(words["kinds"])}
@@ -135,11 +138,16 @@
         # The same start is the same time for good: a step of the system's clock would look like a restart.
         known = self.started.get(server)
         if known is None or known[0] != boot:
-            known = self.started[server] = (boot, boot + self.wall() if boot else None)
+            # One that is to come is another clock's error: the server runs, so it has started by now.
+            known = self.started[server] = (boot, min(boot + self.wall(), self.now()) if boot else None)
         return known[1]
 
     # From the relay; None for an id that the settings leave no room for
 
+    def share(self, told: dict, default=...) -> float:
+        """A proxy's or a line's share."""
+        return figure(told, "share", default, 0.0, self.limits.report_most)
+
     def proxy(self, told: dict) -> int | None:
         made = take(told, "sidecar", int)
         return made if 0 <= made < self.proxies else None
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -93,7 +93,7 @@
 
     def join(self, proxy, params):
         take(params, "az", str)
-        take(params, "share", NUMBER, 1.0)
+        self.news.messages.share(params, 1.0)
         flag(params, "standing", False)
         self.last[proxy] = params
         told, mine = self.news.proxies.get(proxy, 0), self.proxies.get(proxy)
@@ -133,7 +133,7 @@
             self.news.take_away(piece, mine)
 
     def row(self, piece, params):
-        host, weight = take(params, "host", str), take(params, "share", NUMBER)
+        host, weight = take(params, "host", str), self.news.messages.share(params)
         if piece not in self.rows:
             # Cut off from its grant by a long gap in the bytes: the table as known, with this line.
             if self.hub.now() - self.granted.get(piece, -1e9) > self.hub.limits.late_row:
@@ -273,7 +273,7 @@
             self.joined_at = self.hub.now()
             params = stream.last[proxy]
             self.tell(core.Joined(self.messages.door.proxy(proxy), max(0, self.messages.zones.get(params["az"], 0)),
-                                  take(params, "share", NUMBER, 1.0), flag(params, "standing", False)))
+                                  self.messages.share(params, 1.0), flag(params, "standing", False)))
 
     def agree(self, proxy, stream):
         """Makes what was told of a proxy what this stream says, where the two differ."""
@@ -312,6 +312,8 @@
                     self.hub.log("rows_differ", slice=piece, store=lines, known=self.store.get(piece))
                 stream.slices[piece] = max(mine, told)
                 self.give(piece, max(mine, told), lines)
+                if mine > told and self.touched(piece, stream.granted[piece]):
+                    self.confirm(piece)
         if stream.first:
             self.again.reset()
             self.start()
@@ -335,6 +337,22 @@
         for host, weight in lines.items():
             self.tell(core.Stored(made, self.messages.door.server(host), weight))
 
+    def confirm(self, piece):
+        """Taken away and given again while a call was on its way: the call may have been carried out on the new
+        lines, after they were told. What stands is looked at until no call of ours came between."""
+        since = self.hub.now()
+
+        def then(rows):
+            if not self.slices.get(piece, 0) & 1 or piece not in rows:
+                return
+            if self.touched(piece, since):
+                self.confirm(piece)
+            elif not alike(rows[piece], self.store.get(piece, {})):
+                self.hub.count("rows_differ")
+                self.give(piece, self.slices[piece], self.exact(piece, rows[piece]))
+
+        self.ask(then)
+
     def take_away(self, piece, count):
         self.overtaken(piece)
         self.slices[piece] = count
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -163,7 +163,8 @@
     def opened(self, connection):
         self.lines = Lines(connection.buffer, self.limits.message)
         self.next()
-        self.rest()
+        if not self.sent:
+            self.rest()
 
     def rest(self):
         # The relay ends what stands idle; a call under which it does so would have an unknown end.
@@ -171,7 +172,7 @@
         self.idle = self.hub.after(self.limits.call_idle, self.leave)
 
     def leave(self):
-        if self.connection is not None and not self.sent:
+        if self.lines is not None and not self.sent:
             self.connection.close("idle")
 
     def send(self):
@@ -271,9 +272,13 @@
         if connection is not self.connection:
             return
         self.connection = self.lines = None
+        # Left standing it ended the next connection while that came up, and what waited for it waited for good.
+        self.hub.drop(self.idle)
         if self.sent:
             self.unknown(why)
-        elif why not in ("idle", "moved") and (self.waiting or self.away):
+        elif why in ("idle", "moved"):
+            self.next()
+        elif self.waiting or self.away:
             self.pause(why)
 
     def unknown(self, why):
--- a/havendyke/net/resp.py
+++ b/havendyke/net/resp.py
@@ -70,12 +70,12 @@
     def next(self):
         """The next message's parts as slices of the buffer, or None; they hold until the buffer is read into."""
         if self.left < 0:
-            self.at, self.parts = 0, []
+            self.at, self.parts, start = 0, [], self.buffer.start
+            if start < self.buffer.end and self.buffer.data[start] != 42:
+                raise FieldError(f"expected an array, got {bytes(self.buffer.data[start:start + 1])!r}")
             head = self.head()
             if head is None:
                 return None
-            if head[0] != 42:
-                raise FieldError(f"expected an array, got {bytes(head[1])!r}")
             self.left = self.array(head[1])
         while self.left:
             if not self.part():
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -224,7 +224,8 @@
             at = server.latency.middle()
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
             grown = (self.now - server.started if server.started is not None else 1e12) / max(self.cold, 1.0)
-            warmth = min(1.0, self.cold_from + (1 - self.cold_from) * grown)
+            # A start that is to come, by another clock, is one that was just now.
+            warmth = min(1.0, self.cold_from + (1 - self.cold_from) * max(0.0, grown))
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
             server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
@@ -494,6 +495,8 @@
         return rank, -(piece.demand or 0.0)
 
     def difference(self, piece):
+        if piece.wanted == piece.present:
+            return [], piece.present  # a sole owner's line, just set, was cleared again by the push's second look
         if self.one_owner and piece.present:
             return [core.Clear(piece)], {}
         # A sole owner's writes must have ended everywhere before the next owner's begin.
