Orders that a grant overtook under way are not said again, and a look asks the decisions

A slice taken and given again while a call was on its way: the call never came, its end was looked up, and its orders, which went by the lines of before, were said again on the new ones. The look that should have told compared with the front's own account only, not with what the decisions believe.

Change: orders of the call under way that a grant overtakes are marked and neither laid nor said again; a look at what stands gives a slice anew where the store differs from either account.

--- /dev/null
+++ b/benchmarks/_earlier.py
@@ -0,0 +1,42 @@
+"""An earlier version of the product beside the present one, in the same process, from the repository's own history."""
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tempfile
+from pathlib import Path
+from statistics import median
+from time import perf_counter
+
+ROOT = Path(__file__).parents[1]
+
+
+def package(revision: str) -> str:
+    """Makes `havendyke` of a revision importable as a package of another name, which is returned."""
+    name = f"earlier_{revision}"
+    if name in sys.modules:
+        return name
+    told = subprocess.run(["git", "archive", revision, "havendyke"], cwd=ROOT, capture_output=True)
+    if told.returncode:
+        raise SystemExit(f"benchmarks: the history has no {revision}: {told.stderr.decode().strip()}")
+    folder = Path(tempfile.mkdtemp(prefix="earlier-"))
+    with tarfile.open(fileobj=io.BytesIO(told.stdout)) as tar:
+        tar.extractall(folder, filter="data")
+    (folder / "havendyke").rename(folder / name)
+    sys.path.insert(0, str(folder))
+    importlib.import_module(name)
+    return name
+
+
+def compared(old, new, repeats: int = 9) -> dict:
+    """Both run in turn, so that what else the machine does strikes both; seconds a run and the ratio of the medians."""
+    times = {"old": [], "new": []}
+    for _ in range(repeats):
+        for which, call in (("old", old), ("new", new)):
+            began = perf_counter()
+            call()
+            times[which].append(perf_counter() - began)
+    middle = {which: median(t) for which, t in times.items()}
+    return {"new_over_old_speed": round(middle["old"] / middle["new"], 3), "repeats": repeats,
+            **{f"{which}_ms": [round(1000 * f(t), 3) for f in (min, median, max)] for which, t in times.items()}}
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -17,7 +17,7 @@
         self.discovery, self.hub, self.follow = discovery, discovery.hub, follow
         self.since, self.first, self.silence = discovery.version, True, None
         self.answer = self.lines = self.body = None
-        self.address, self.sound = discovery.address, False
+        self.address, self.sound, self.answered = discovery.address, False, False
         self.connection = self.hub.connect(self.address, self)
         if self.connection is not None:
             self.listen()
@@ -49,6 +49,7 @@
             self.whole()
 
     def whole(self):
+        self.answered = True
         if not self.follow and self.body.end:
             self.object(value(memoryview(self.body.data)[self.body.start:self.body.end]))
             self.body.start = self.body.end = 0
@@ -98,7 +99,8 @@
 
     def ask_whole(self, wait):
         """The whole list once, however many have reason to ask for it."""
-        if self.asking is None and all(q.follow for q in self.questions if q.address == self.address):
+        if self.asking is None and all(
+                q.follow or q.answered for q in self.questions if q.address == self.address):
             self.asking = self.hub.after(wait, self.asked)
 
     def asked(self):
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -169,16 +169,17 @@
 
 
 class News:
-    def __init__(self, hub, address, messages, tell, touched, overtaken, heard):
+    def __init__(self, hub, address, messages, tell, touched, overtaken, heard, differs):
         """`tell(event)` takes events; `touched(slice, since)` says whether a call of ours may have changed its
         lines since then; `overtaken(slice)` hears that orders which wait for it are of the past,
-        `heard(mark)` that a proxy answered."""
+        `heard(mark)` that a proxy answered; `differs(slice, lines)`: whether these are not what is known and believed."""
         self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
-        self.touched, self.overtaken, self.heard = touched, overtaken, heard
+        self.touched, self.overtaken, self.heard, self.differs = touched, overtaken, heard, differs
         self.streams, self.looks, self.serial = [], [], 0
         self.proxies, self.slices, self.acks = {}, {}, {}  # as told
         self.joined_at = 0.0                               # when a proxy joined last
         self.store = {}                                    # the given slices' lines, as far as known
+        self.unsure, self.confirming = {}, False   # slices whose lines are to be looked at; whether one goes on
         self.gap = False                                   # news was lost on the only connection that had it
         self.again = Backoff(hub.limits.call_again, hub.limits.again_most)
 
@@ -314,6 +315,8 @@
                 self.give(piece, max(mine, told), lines)
                 if mine > told and self.touched(piece, stream.granted[piece]):
                     self.confirm(piece)
+            elif stream.first and not alike(lines, self.store.get(piece, {})):
+                self.confirm(piece)
         if stream.first:
             self.again.reset()
             self.start()
@@ -338,18 +341,26 @@
             self.tell(core.Stored(made, self.messages.door.server(host), weight))
 
     def confirm(self, piece):
-        """Taken away and given again while a call was on its way: the call may have been carried out on the new
-        lines, after they were told. What stands is looked at until no call of ours came between."""
-        since = self.hub.now()
+        """What was told of a slice may be older than a call of ours that was on its way, or was passed over for one
+        that never came. What stands is looked at, one look at a time, until no call came between."""
+        self.unsure[piece] = None
+        if not self.confirming:
+            self.look_again()
+
+    def look_again(self):
+        since, pieces = self.hub.now(), self.unsure
+        self.unsure, self.confirming = {}, True
 
         def then(rows):
-            if not self.slices.get(piece, 0) & 1 or piece not in rows:
-                return
-            if self.touched(piece, since):
-                self.confirm(piece)
-            elif not alike(rows[piece], self.store.get(piece, {})):
-                self.hub.count("rows_differ")
-                self.give(piece, self.slices[piece], self.exact(piece, rows[piece]))
+            self.confirming = False
+            for piece in [p for p in pieces if self.slices.get(p, 0) & 1 and p in rows]:
+                if self.touched(piece, since):
+                    self.unsure[piece] = None
+                elif self.differs(piece, rows[piece]):
+                    self.hub.count("rows_differ")
+                    self.give(piece, self.slices[piece], self.exact(piece, rows[piece]))
+            if self.unsure:
+                self.look_again()
 
         self.ask(then)
 
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -17,12 +17,14 @@
 
     def __init__(self, hub, address, messages, tell):
         self.hub, self.address, self.limits = hub, address, hub.limits
-        self.news = News(hub, address, messages, tell, self.touched, self.overtaken, self.heard)
+        self.news = News(hub, address, messages, tell, self.touched, self.overtaken, self.heard,
+                         self.differs)
         self.tell, self.touched_at = tell, {}
         self.waiting = {}                   # orders by key, oldest first
         self.unsent = []                    # marks that no call has carried out, oldest first
         self.connection, self.lines, self.idle, self.dialled = None, None, None, None
         self.sent, self.number, self.deadline = None, 0, None  # orders of the call under way
+        self.outdated = set()               # keys of those that go by lines of before
         self.sent_at, self.again = -1e9, Backoff(hub.limits.call_again, hub.limits.again_most)
         self.doubt, self.paused, self.few, self.returned = None, None, None, None
         self.away, self.gone = None, False  # why nothing leaves; whether the relay itself is out of reach
@@ -37,15 +39,25 @@
     def overtaken(self, piece):
         """The store's lines are the present state: orders that go by an older one are not sent after them."""
         for orders in (self.waiting, self.doubt or {}):
-            for key in [k for k in orders if k[0] in ("line", "clear") and k[1] == piece]:
+            for key in self.lines_of(piece, orders):
                 del orders[key]
+        self.outdated.update(self.lines_of(piece, self.sent or {}))
+
+    @staticmethod
+    def lines_of(piece, orders) -> list:
+        return [key for key in orders if key[0] in ("line", "clear") and key[1] == piece]
+
+    def differs(self, piece, lines) -> bool:
+        """Whether these are not the lines that are known of a slice, or that the decisions go by where no order that
+        waits explains it."""
+        believed = {s.id: w for s, w in self.news.messages.door.slice(piece).present.items()}
+        return not alike(lines, self.news.store.get(piece, {})) or (
+            not alike(believed, lines) and not self.lines_of(piece, self.waiting))
 
     def renew(self):
         """Tells the store's lines again where the decisions believe others and no order of ours explains it."""
-        waiting = {key[1] for key in self.waiting if key[0] in ("line", "clear")}
         for piece, lines in list(self.news.store.items()):
-            believed = {s.id: w for s, w in self.news.messages.door.slice(piece).present.items()}
-            if not alike(believed, lines) and piece not in waiting and not self.touched(piece, self.hub.now()):
+            if self.differs(piece, lines) and not self.touched(piece, self.hub.now()):
                 self.news.give(piece, self.news.slices[piece], lines)
 
     def put(self, key, order):
@@ -218,18 +230,21 @@
         for key in orders:
             if key[0] in ("line", "clear"):
                 self.touched_at[key[1]] = self.hub.now()
-        return orders
+        outdated, self.outdated = self.outdated, set()
+        return orders, outdated
 
     def answered(self, taken):
         self.again.reset()
         self.unproven.reset()
-        orders, self.few = list(self.end("answered").items()), None
-        self.carried(orders[:taken])
+        sent, outdated = self.end("answered")
+        orders, self.few = list(sent.items()), None
+        # What the store told meanwhile is the better account; whether these came after it, a look will tell.
+        self.carried([(key, order) for key, order in orders[:taken] if key not in outdated])
         if taken < len(orders):
             # The one at fault would stop every call behind it.
             self.hub.count("relay_short")
             self.hub.log("order_refused", order=orders[taken][1])
-            self.put_back(orders[taken + 1:])
+            self.put_back([(key, order) for key, order in orders[taken + 1:] if key not in outdated])
             piece = orders[taken][0][1] if orders[taken][0][0] == "line" else None
             if piece in self.news.store:
                 # The decisions take the line for laid; told what the store has, they choose anew.
@@ -238,7 +253,8 @@
         self.next()
 
     def refused(self, said):
-        orders = self.end("turned_away")
+        sent, outdated = self.end("turned_away")
+        orders = {key: order for key, order in sent.items() if key not in outdated}
         if "SYNTAX" in said:
             self.hub.log("call_refused", error=said[:100], orders=len(orders))
             self.hub.count("relay_syntax")
@@ -283,7 +299,8 @@
 
     def unknown(self, why):
         """The call was carried out whole or not at all: the store's lines tell which."""
-        self.doubt = self.end("unknown")
+        sent, outdated = self.end("unknown")
+        self.doubt = {key: order for key, order in sent.items() if key not in outdated}
         self.hub.log("call_unknown", why=why, orders=len(self.doubt))
         if any(key[0] in ("line", "clear") for key in self.doubt):
             self.absent(why)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 from helpers import SETTINGS, raw_config, whole_list
 
 from havendyke.__main__ import main
-from havendyke.config import ConfigError, Limits, load
+from havendyke.config import ConfigError, Limits, load, read
 from havendyke.net.deadlines import Backoff, Deadlines
 from havendyke.net.resp import encode
 from havendyke.net.slots import Slots
@@ -110,3 +110,35 @@
     finally:
         lingering.close()
         process.kill()
+
+
+def settings(**parts):
+    return SETTINGS | {k: SETTINGS.get(k, {}) | v if isinstance(v, dict) else v for k, v in parts.items()}
+
+
+@pytest.mark.parametrize("raw, key", [
+    *((settings(familyInfo={key: value}), key) for key in ("pendingMax", "channelRate", "overhead", "pushDelay", "interval")
+      for value in (-1, 1e30, "1", True, 10 ** 40)),
+    *((settings(obligations={key: value}), key) for key in ("cold", "coldFrom", "overloadFactor")
+      for value in (-1, 1e30, [1])),
+    *((SETTINGS | {"requestClasses": [SETTINGS["requestClasses"][0] | {key: value}]}, key) for key, value in (
+        ("repeat", ["pure"]), ("repeat", "Pure"), ("promise", 0), ("hardLimit", -5), ("group", "rack"), ("window", 1e30))),
+    (settings(weightKind=1), "weightKind"), (settings(registryMode="pull"), "registryMode"),
+    (settings(localities=["a", "a"]), "localities"), (settings(localities=["a", 7]), "localities"),
+    (settings(requestClasses=[5]), "requestClasses"), (settings(familyInfo={"classOwnZone": [1]}), "classOwnZone"),
+    (settings(limits={"connectTimeout": 0}), "connectTimeout")])
+def test_what_is_out_of_bounds_is_named(raw, key):
+    with pytest.raises(ConfigError, match=key):
+        read(json.dumps(raw_config(settings=raw)).encode(), "file", {})
+
+
+@pytest.mark.parametrize("text", ["NaN", "Infinity", "-Infinity"])
+def test_what_is_no_number_is_no_json(text):
+    raw = json.dumps(raw_config()).replace("4000.0", text).encode()
+    with pytest.raises(ConfigError, match="not JSON"):
+        read(raw, "file", {})
+
+
+def test_keys_that_nothing_reads_may_say_what_they_like():
+    odd = settings(obligations={"drainGrace": "soon"}, worthBy=[], prices={"x": None})
+    read(json.dumps(raw_config(settings=odd, limits={"cores": "many"})).encode(), "file", {})
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,6 +1,7 @@
 """Bytes cut at every position give the same result as the whole; what is malformed says so."""
 import pytest
 
+from havendyke.fields import FieldError
 from havendyke.net.buffer import Budget, Buffer, TooLong
 from havendyke.net.http import DONE, Answer
 from havendyke.net.lines import Lines, value
@@ -84,3 +85,24 @@
         buffer.add(b"x" * 2000)
     buffer.release()
     assert budget.left == 1000
+
+
+@pytest.mark.parametrize("head, left", [
+    (b"X: a\r\n Content-Length: 2", b"to the end"), (b"Content-Length: 2\r\ncontent-length: 2", b"to")])
+def test_a_folded_line_belongs_to_the_field_before(head, left):
+    buffer = Buffer(64, 4096)
+    answer = Answer(buffer, 1024)
+    buffer.add(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\nto the end")
+    assert bytes(answer.next()) == left
+
+
+@pytest.mark.parametrize("head", [
+    b"Content-Length: 2\r\nContent-Length: 3", b"Transfer-Encoding: gzip, chunked", b"Content-Length: " + b"9" * 5000,
+    b"a: b\r\n" * 101 + b"a: b", b" folded: first"])
+def test_heads_that_two_readers_could_take_differently_are_refused(head):
+    buffer = Buffer(64, 1 << 14)
+    answer = Answer(buffer, 1 << 14)
+    buffer.add(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\nabc")
+    with pytest.raises((FieldError, TooLong)):
+        while answer.next() is not None:
+            pass
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -587,3 +587,29 @@
     c.next_push = c.now + 100 if early else c.now - 100
     c.waiting = lambda: 0.55 * c.queue_half
     assert core.Withdraw(drained, True) in c.emit()
+
+
+def test_a_sole_owners_new_line_stands_after_its_push():
+    # The push's second look took what it had just set for a line to clear: the slice stayed bare for good.
+    c = controller(one_owner=True, lease=500.0, lingers=500.0)
+    a, b = fleet(c, 2)
+    piece, = slices(c, [a])
+    join(c, 1)
+    a.state = "draining"
+    c.judge()
+    c.plan()
+    assert core.Clear(piece) in c.emit() and piece.present == {}
+    c.caught_up(core.Answered(c.proxies[0], 1, 300.0))
+    c.now += 3000
+    c.judge()
+    c.plan()
+    orders = c.emit()
+    assert [(o.server, o.weight) for o in lines(orders)] == [(b, 1.0)]
+    assert not any(isinstance(o, core.Clear) for o in orders) and piece.present == {b: 1.0}
+
+
+def test_a_start_to_come_counts_as_just_now():
+    c = controller()
+    a, = fleet(c, 1, started=200_000.0)
+    c.judge()
+    assert a.grade == rules.COLD and a.capacity > 0
