--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -333,9 +333,12 @@
 
         def turn(now, events):
             turns[0] += 1
-            if early and turns[0] == 1 or any(isinstance(e, core.Probed) and e.outcome == "odd" for e in events):
+            if any(isinstance(e, core.Probed) and e.outcome == "odd" for e in events):
                 raise ZeroDivisionError("drawn")
-            return right(now, events)
+            orders = right(now, events)
+            if early and turns[0] == 1:
+                raise ZeroDivisionError("drawn, and its orders with it")
+            return orders
 
         assigner.door.controller.turn = turn
 
--- a/havendyke/lab/rules.py
+++ b/havendyke/lab/rules.py
@@ -108,12 +108,15 @@
         warm = any(state == "ready" and now - self.start[s] >= self.settings.cold for s, state in self.state.items())
         brought, sole = {}, {}
         for view in views:
+            # Back after its lease, a proxy writes nothing until it has read the store.
+            writes = now >= view.read_at or now - view.parted_at < self.settings.lease
             for piece, since in pieces.items():
                 picked = view.pick(piece)
                 self.bare(view, piece, since, warm and not picked)
                 for server, part in picked.items():
                     self.drain(view, piece, since, server)
-                    sole.setdefault(piece, set()).add(server)
+                    if writes:
+                        sole.setdefault(piece, set()).add(server)
                     knows = view.heard_at >= self.start_told.get(server, 0.0) or \
                         now - self.start_told.get(server, 0.0) > self.bounds.grace
                     if knows:
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -138,9 +138,10 @@
             # Cut off from its grant by a long gap in the bytes: the table as known, with this line.
             if self.hub.now() - self.granted.get(piece, -1e9) > self.hub.limits.late_row:
                 return
-            self.rows[piece] = dict(self.news.store.get(piece, {}))
-            if host in self.rows[piece]:
+            known = self.news.store.get(piece, {})
+            if host in known:
                 return
+            self.rows[piece] = dict(known)
             self.granted[piece] = self.hub.now()
             self.slices[piece] += 2
         self.rows[piece][host] = weight
--- /dev/null
+++ b/tests/lab/test_rules.py
@@ -0,0 +1,137 @@
+"""Each rule's breach is seen, and what keeps just short of it is none."""
+import pytest
+
+from havendyke import interface as core
+from havendyke.door import Door
+from havendyke.lab.plane import Plane
+from havendyke.lab.rules import Bounds, Rules
+
+BOUNDS = Bounds(bare=1000.0, grace=2000.0, fall=500.0, slack=0.0)
+
+
+class Scene:
+    """A plane with one proxy and two slices on server a; a knows no trouble and is warm, so is b."""
+
+    def __init__(self, **settings):
+        self.settings = core.Settings(classes=[core.OperationClass(1000.0, 3000.0, "safe"),
+                                               core.OperationClass(1000.0, 3000.0, "once")],
+                                      slices=2, queue_limit=40.0, channel_rate=1000.0, overhead=2.0, push_delay=50.0,
+                                      cold=10_000.0, cold_from=0.2, overload=3.0, **settings)
+        self.door = Door(self.settings, 1)
+        self.plane, self.rules = Plane(self.settings, lambda: 0.5, sync=(0.0, 0.0)), Rules(self.settings, BOUNDS, usual=100.0)
+        self.a, self.b = self.door.server("a"), self.door.server("b")
+        self.pieces = [self.door.slice(0), self.door.slice(1)]
+        self.list(self.a), self.list(self.b)
+        for piece in self.pieces:
+            self.plane.give(piece, {self.a: 1.0})
+        self.proxy = self.door.proxy(0)
+        self.plane.join(self.proxy, 0, 1.0, True)
+        self.demand = dict.fromkeys(self.pieces, 50.0)
+        self.go(10)
+
+    def list(self, server, state="ready", started=None):
+        self.rules.told(self.plane.now, core.Members("changes", [core.Entry(server, state, started, 0, 0, 0, 1.0)]))
+
+    def order(self, *orders):
+        self.plane.order(list(orders))
+        self.rules.ordered(self.plane.now, orders, self.plane)
+
+    def go(self, ms, step=10.0):
+        for _ in range(int(ms / step)):
+            self.plane.advance(self.plane.now + step)
+            self.rules.look(self.plane.now, self.plane, self.demand)
+
+    @property
+    def seen(self):
+        return [b.rule for b in self.rules.breaches]
+
+
+def test_a_day_without_trouble_breaks_nothing():
+    s = Scene()
+    s.go(5000)
+    assert s.seen == []
+
+
+@pytest.mark.parametrize("listed, expected", [(True, ["bare"] * 2), (False, [])])
+def test_bare(listed, expected):
+    s = Scene()
+    if not listed:
+        s.list(s.a, "gone"), s.list(s.b, "gone")
+    s.order(*[core.Clear(p) for p in s.pieces])
+    s.go(1040)
+    assert s.seen == []
+    s.go(200)
+    assert s.seen[:2] == expected
+
+
+@pytest.mark.parametrize("how", ["line", "withdraw", "late"])
+def test_drain(how):
+    s = Scene()
+    s.list(s.a, "draining")
+    s.go(1800)
+    if how == "line":
+        s.order(*[o for p in s.pieces for o in (core.Line(p, s.b, 1.0), core.Line(p, s.a, 0.0))])
+    elif how == "withdraw":
+        s.order(*[core.Line(p, s.b, 0.01) for p in s.pieces], core.Withdraw(s.a, True))
+    s.go(600)
+    assert s.seen[:1] == (["drain"] if how == "late" else [])
+
+
+@pytest.mark.parametrize("share, age, breaks", [(1.0, 0.0, True), (0.5, 0.0, False), (1.0, 3000.0, False)])
+def test_cold(share, age, breaks):
+    s = Scene()
+    s.list(s.b, "ready", s.plane.now - age)
+    s.go(2100)  # by then it counts as known
+    s.rules.start[s.b] = s.plane.now - age
+    s.order(*[core.Line(p, s.b, w) for p in s.pieces for w in (share,)],
+            *[core.Line(p, s.a, 1.0 - share) for p in s.pieces])
+    s.go(900)
+    assert ("cold" in s.seen) == breaks
+
+
+def test_queue_and_cap():
+    s = Scene()
+    s.order(*[core.Line(s.pieces[0], s.b, 1.0)] * 30)
+    assert s.seen == []
+    s.order(*[core.Line(s.pieces[0], s.b, 1.0)] * 10)
+    assert s.seen == ["queue"]
+    s = Scene(message_cap=2, message_span=1000.0)
+    for k in range(3):
+        s.order(core.Mark(k, True))
+        s.go(100)
+    assert s.seen == ["queue"]
+
+
+@pytest.mark.parametrize("classes, breaks", [(1, False), (2, True), (3, True)])
+def test_twice_by_further_tries(classes, breaks):
+    s = Scene()
+    s.order(core.Tries(classes, 1.0, 2))
+    assert ("twice" in s.seen) == breaks
+
+
+@pytest.mark.parametrize("wait, breaks", [(200.0, True), (900.0, False)])
+@pytest.mark.parametrize("away", [False, True])
+def test_twice_of_a_sole_owner(wait, breaks, away):
+    s = Scene(one_owner=True, lease=300.0, lingers=500.0)
+    other = s.door.proxy(1)
+    s.plane.join(other, 0, 1.0, True)
+    s.go(50)
+    if away:
+        s.plane.part(other)
+    s.order(core.Clear(s.pieces[0]))
+    s.go(wait)
+    s.order(core.Line(s.pieces[0], s.b, 1.0))
+    s.go(300)
+    assert ("twice" in s.seen) == breaks
+
+
+def test_limits_stand_still_while_nothing_leaves():
+    s = Scene()
+    s.list(s.a, "gone")
+    s.rules.reached(s.plane.now, False)
+    s.go(4000)
+    s.rules.reached(s.plane.now, True)
+    s.go(1900)
+    assert s.seen == []
+    s.go(300)
+    assert "drain" in s.seen
