--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -17,7 +17,7 @@
 
 TICK = 50.0        # ms between looks at the proxies
 LONGEST = 40_000.0
-HEAD = 7           # bytes that draw the deployment; four a step after them
+HEAD = 8           # bytes that draw the deployment; four a step after them
 KINDS = (
     dict(repeat="safe"), dict(repeat="once"), dict(repeat="keyed", group="all", window=9000.0),
     dict(repeat="keyed", group="cell", window=9000.0), dict(repeat="keyed", group="all", window=500.0))
@@ -69,7 +69,7 @@
             zones=3, slices=self.piece_count, one_owner=one_owner, lease=1000.0 if one_owner else 0.0,
             lingers=800.0 if one_owner else 0.0, queue_limit=limit, channel_rate=limit / 1.2, overhead=head,
             push_delay=self.delay, report_period=1000.0, cold=12_000.0, cold_from=draw.choice((0.2, 0.1)),
-            overload=3.0, probes=bool(flags & 32), levels=("share", "none")[flags >> 6 & 1], sized=bool(flags & 128))
+            overload=draw.choice((3.0, 1.5)), probes=bool(flags & 32), levels=("share", "none")[flags >> 6 & 1], sized=bool(flags & 128))
         self.door = Door(self.settings, seed)
         self.now, self.plane = 100_000.0, Plane(self.settings, self.chance.draw)
         self.plane.now = self.now
@@ -339,13 +339,14 @@
 
 
 def days() -> list:
-    plain = [bytes(HEAD), bytes([5, 2, 3, 255, 2, 1, 2]), bytes([3, 1, 2, 7, 1, 2, 1]), bytes([1, 1, 1, 40, 1, 1, 0])]
-    alone = [bytes([2, 1, 2, 32, 1, 1, 1]) + bytes([k | 0xf0, 9 * k % 256, 40, k, 0xf0, 0, 0, 0, k | 0xf0, 3, 2, 1])
+    plain = [bytes(HEAD), bytes([5, 2, 3, 255, 2, 1, 2, 1]), bytes([3, 1, 2, 7, 1, 2, 1, 0]),
+             bytes([1, 1, 1, 40, 1, 1, 0, 1])]
+    alone = [bytes([2, 1, 2, 32, 1, 1, 1, 0]) + bytes([k | 0xf0, 9 * k % 256, 40, k, 0xf0, 0, 0, 0, k | 0xf0, 3, 2, 1])
              for k in range(len(Day.STEPS))]
-    release = bytes([1, 1, 2, 32, 1, 1, 0]) + bytes([0xf1, 0, 3, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0, 0xf2, 0, 0, 30]) * 4
+    release = bytes([1, 1, 2, 32, 1, 1, 0, 0]) + bytes([0xf1, 0, 3, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0, 0xf2, 0, 0, 30]) * 4
     # A sole owner's proxy is away while its slices change hands; both bits of the channel and of the cold.
-    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0]) + bytes([4, 0, 100, 0, 0x21, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0]) for k in (0, 128)]
-    full = [bytes([5, 2, 3, 128, 0, 0, k]) + release[HEAD:] for k in (2, 3)]
+    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0, 0]) + bytes([4, 0, 100, 0, 1, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0]) for k in (0, 128)]
+    full = [bytes([5, 2, 3, 128, 0, 0, k, 1]) + release[HEAD:] for k in (2, 3)]
     return plain + alone + [release] + sole + full
 
 
