--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -17,7 +17,7 @@
 
 TICK = 50.0        # ms between looks at the proxies
 LONGEST = 40_000.0
-HEAD = 8           # bytes that draw the deployment; four a step after them
+HEAD = 9           # bytes that draw the deployment; four a step after them
 KINDS = (
     dict(repeat="safe"), dict(repeat="once"), dict(repeat="keyed", group="all", window=9000.0),
     dict(repeat="keyed", group="cell", window=9000.0), dict(repeat="keyed", group="all", window=500.0))
@@ -339,14 +339,14 @@
 
 
 def days() -> list:
-    plain = [bytes(HEAD), bytes([5, 2, 3, 255, 2, 1, 2, 1]), bytes([3, 1, 2, 7, 1, 2, 1, 0]),
-             bytes([1, 1, 1, 40, 1, 1, 0, 1])]
-    alone = [bytes([2, 1, 2, 32, 1, 1, 1, 0]) + bytes([k | 0xf0, 9 * k % 256, 40, k, 0xf0, 0, 0, 0, k | 0xf0, 3, 2, 1])
+    plain = [bytes(HEAD), bytes([5, 2, 3, 255, 2, 1, 2, 1, 0]), bytes([3, 1, 2, 7, 1, 2, 1, 0, 1]),
+             bytes([1, 1, 1, 40, 1, 1, 0, 1, 1])]
+    alone = [bytes([2, 1, 2, 32, 1, 1, 1, 0, 0]) + bytes([k | 0xf0, 9 * k % 256, 40, k, 0xf0, 0, 0, 0, k | 0xf0, 3, 2, 1])
              for k in range(len(Day.STEPS))]
-    release = bytes([1, 1, 2, 32, 1, 1, 0, 0]) + bytes([0xf1, 0, 3, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0, 0xf2, 0, 0, 30]) * 4
+    release = bytes([1, 1, 2, 32, 1, 1, 0, 0, 0]) + bytes([0xf1, 0, 3, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0, 0xf2, 0, 0, 30]) * 4
     # A sole owner's proxy is away while its slices change hands; both bits of the channel and of the cold.
-    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0, 0]) + bytes([4, 0, 100, 0, 1, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0]) for k in (0, 128)]
-    full = [bytes([5, 2, 3, 128, 0, 0, k, 1]) + release[HEAD:] for k in (2, 3)]
+    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0, 0, 0]) + bytes([4, 0, 100, 0, 1, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0]) for k in (0, 128)]
+    full = [bytes([5, 2, 3, 128, 0, 0, 3, 1, k]) + release[HEAD:] for k in (0, 1)]
     return plain + alone + [release] + sole + full
 
 
--- /dev/null
+++ b/havendyke/recovery/durable.py
@@ -0,0 +1,111 @@
+"""The folder, the keeper and the writer behind one small class: what the assigner sees of recovery.
+
+Nothing here decides: `trust` says what is believed, `files` what was found. A folder that cannot be had keeps nobody from
+starting: the assigner goes on without, and says so.
+"""
+from dataclasses import dataclass
+
+from .. import interface as core
+from .files import Disk, Folder, Found, Locked
+from .keeper import Keeper, Told
+from .kept import Kept, Row
+from .now import boot_id, stamp
+from .writer import Options as WriterOptions
+from .writer import Writer
+
+
+@dataclass(frozen=True)
+class Options:
+    """The section [state] of the operator's file; times in ms, sizes in bytes."""
+    folder: str
+    gather: float = 50.0
+    pending: int = 20_000
+    log_most: int = 8 << 20
+    again: float = 500.0
+    again_most: float = 30_000.0
+
+
+class Durable:
+    """`log(event, **more)` may be called from the writer's thread; `disk` and `clock` are for tests."""
+
+    def __init__(self, options: Options, log, disk=None, clock=None):
+        self.options, self.log = options, log
+        boot = boot_id()
+        self.clock = clock or (lambda: stamp(boot))
+        self.folder = Folder(disk or Disk(options.folder), options.log_most)
+        self.writer = self.keeper = None
+        self.found, self.writes = self.open()
+        for said in self.found.said:
+            self.log("state", said=said)
+
+    def open(self):
+        try:
+            return self.folder.open(), True
+        except Locked as error:
+            self.log("state_not_kept", cause=str(error))
+        except OSError as error:
+            self.log("state_not_kept", cause=error.strerror or str(error))
+        try:
+            return self.folder.open(write=False), False  # what can be read is better than nothing
+        except OSError as error:
+            return Found(Kept(), 0, 0, [f"cannot be read: {error.strerror or error}"]), False
+
+    def begin(self, door, messages, cold: float) -> core.Members | None:
+        """Attaches to a door and its messages; the list to start with, None where nothing was kept."""
+        self.door, self.messages = door, messages
+        self.keeper = Keeper(self.found.kept, self.clock, messages.started_by, cold)
+        messages.keep = self.listed
+        door.shut.update(dict.fromkeys(self.found.kept.shut))
+        if self.writes:
+            options = WriterOptions(self.options.gather, self.options.pending, self.options.again, self.options.again_most)
+            self.writer = Writer(self.folder, self.keeper.present, options, self.log)
+            self.writer.start()
+        first = self.keeper.first()
+        if not first:
+            return None
+        told = self.clock()
+        entries = [self.entry(one, told) for one in first]
+        cold_ones = sum(one.state == "ready" and one.trust < 1 for one in first)
+        self.log("state_recovered", servers=len(first), untrusted=cold_ones, drains=len(self.found.kept.tombs))
+        return core.Members("stale", entries)
+
+    def entry(self, one, now) -> core.Entry:
+        row = self.found.kept.servers.get(one.uid, Row())
+        server = self.door.server(one.uid)
+        if row.endpoint:
+            self.messages.endpoints[server] = row.endpoint
+        started = self.messages.start(server, row.boot)
+        if one.state == "ready" and one.start != row.boot:
+            started = self.messages.started_by(one.start)
+        return core.Entry(server, one.state, started, self.messages.zones.get(row.zone, -1), row.cell,
+                          self.messages.kinds.get(row.model, 0), row.size, sure=one.trust >= 1.0 or one.state != "ready")
+
+    def listed(self, event, entries, version):
+        """A list of discovery's, on its way to the decisions; `entries` are (uid, what was told, the event's entry)."""
+        made = [Told(uid, Row(e.get("endpoint") or "", e.get("az") or "", e.get("model") or "", entry.cell, entry.state,
+                              float(entry.size), float(e.get("boot_ms") or 0), version), entry) for uid, e, entry in entries]
+        return self.keeper.listed(event, made)
+
+    def turned(self, events, orders) -> core.Members | None:
+        """After a turn; what its evidence makes of servers that were not trusted, for the next one."""
+        raised = self.keeper.turned(events, orders)
+        self.keeper.learn(self.door.controller)
+        if self.writer:
+            self.writer.put(self.keeper.changes(), self.keeper.whole)
+        if not raised:
+            return None
+        now = self.clock()
+        return core.Members("changes", [self.entry(one, now) for one in raised])
+
+    def counters(self) -> dict:
+        made = {f"state_{name}": count for name, count in self.keeper.counts.items()} if self.keeper else {}
+        if self.writer:
+            made |= {f"state_{name}": count for name, count in self.writer.counts.items()}
+        return made
+
+    def end(self, seconds: float = 0.3):
+        """Commits what waits, if the disk lets it in time."""
+        if self.writer:
+            self.writer.put(self.keeper.changes(), self.keeper.whole)
+            self.writer.end(seconds)
+        self.folder.close()
--- a/havendyke/recovery/kept.py
+++ b/havendyke/recovery/kept.py
@@ -57,6 +57,7 @@
     marks: dict = field(default_factory=dict)       # "last": number of the last mark, "answered": by how many proxies
     learned: dict = field(default_factory=dict)     # "server/uid" or "slice/number": [figure, Stamp]
     lists: int = -1                                 # version of the last list
+    alive: Stamp | None = None                      # when the program that kept this was last seen running
 
 
 def stamp(told) -> Stamp | None:
@@ -104,6 +105,8 @@
     """Makes one change. A kind that is not known is an error, for a state that lacks it is another state."""
     if kind == "lists":
         kept.lists = number(fields, "version", -1, 1e18, (int,))
+    elif kind == "alive":
+        kept.alive = stamp(fields.get("at"))
     elif kind == "entry":
         kept.servers[text(fields, "uid")] = row(fields)
     elif kind == "drop":
@@ -143,6 +146,7 @@
 def difference(present: Kept, wanted: Kept) -> list:
     """The changes that make the one the other, in an order that never takes a tomb away before what it speaks of."""
     made = [("lists", {"version": wanted.lists})] if wanted.lists != present.lists else []
+    made += [("alive", {"at": told(wanted.alive)})] if wanted.alive != present.alive else []
     made += [tomb(uid, of) for uid, of in wanted.tombs.items() if present.tombs.get(uid) != of]
     made += [entry(uid, of) for uid, of in wanted.servers.items() if present.servers.get(uid) != of]
     made += [("drop", {"uid": uid}) for uid in present.servers if uid not in wanted.servers]
--- a/havendyke/recovery/trust.py
+++ b/havendyke/recovery/trust.py
@@ -51,8 +51,9 @@
     return 0.0 if trust >= 1.0 else now.wall - cold * trust
 
 
-def standing(uid: str, row: Row, tomb: Tomb | None, now: Stamp, cold: float) -> Standing:
-    """A kept server at a recovery."""
+def standing(uid: str, row: Row, tomb: Tomb | None, now: Stamp, cold: float, goes_on: bool = True) -> Standing:
+    """A kept server at a recovery; `goes_on` where the program before this one ran a moment ago, so that what that one
+    assumed still holds."""
     if tomb is not None and tomb.boot >= row.boot:
         return Standing(uid, tomb.state, row.boot, 0.0, f"{tomb.state} since it was last told")
     if row.state != "ready":
@@ -62,7 +63,7 @@
     if row.boot and now.wall - row.boot < cold:
         # A start that is told is better than one that is guessed, unless the guess is colder.
         trust = min(trust, max(0.0, (now.wall - row.boot) / cold) if cold else 1.0)
-    if row.assumed:
+    if row.assumed and goes_on:
         # An earlier recovery counted it cold from then on: it has warmed since, and no restart of ours cools it.
         warmed = max(0.0, now.wall - row.assumed) / cold if cold else 1.0
         if warmed >= trust and now.wall - row.assumed >= 0:
@@ -82,7 +83,9 @@
 
 def recovered(kept: Kept, now: Stamp, cold: float) -> list:
     """The list to start with, by uid. Tombs without a row are told too: a line of the store may name them."""
-    made = [standing(uid, kept.servers[uid], kept.tombs.get(uid), now, cold) for uid in sorted(kept.servers)]
+    last = age(kept.alive, now)
+    goes_on = last.by != "none" and last.ms <= STEPS[0][0]
+    made = [standing(uid, kept.servers[uid], kept.tombs.get(uid), now, cold, goes_on) for uid in sorted(kept.servers)]
     made += [Standing(uid, "gone", kept.tombs[uid].boot, 0.0, "its end was told") for uid in sorted(kept.tombs)
              if uid not in kept.servers]
     return made
@@ -96,12 +99,12 @@
         self.kept, self.cold, self.began = kept, cold, now
         self.trust = {}          # by uid, of those that no list has confirmed
         self.first = recovered(kept, now, cold)
+        kept.alive = now
         for one in self.first:
+            # A server that has warmed since stays so over the next start too: its own start is kept, not the warmth.
             if one.state == "ready" and one.uid in kept.servers and one.trust < 1.0:
                 self.trust[one.uid] = one.trust
                 kept.servers[one.uid].assumed = one.start
-            elif one.uid in kept.servers:
-                kept.servers[one.uid].assumed = 0.0
 
     def now_trusted(self, uid: str, now: Stamp) -> float:
         """With what it has warmed since it was given its start."""
