Tables whose lines came late, or whose stream was let go, are looked at

Found so: lines that came over a second after their grant (a standstill of our own) were left out, and lines on a stream that was let go before the rest of a table came were lost; the store kept a line that nobody knew of.

Change: news.py confirms such tables by a look at what stands.

--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -136,10 +136,12 @@
         host, weight = take(params, "host", str), self.news.messages.share(params)
         if piece not in self.rows:
             # Cut off from its grant by a long gap in the bytes: the table as known, with this line.
-            if self.hub.now() - self.granted.get(piece, -1e9) > self.hub.limits.late_row:
-                return
             known = self.news.store.get(piece, {})
-            if host in known:
+            if host in known or not self.slices.get(piece, 0) & 1:
+                return
+            if self.hub.now() - self.granted.get(piece, -1e9) > self.hub.limits.late_row:
+                # Whether it still stands nobody knows by now: left out, its server kept a part of the traffic.
+                self.news.confirm(piece)
                 return
             self.rows[piece] = dict(known)
             self.granted[piece] = self.hub.now()
@@ -254,6 +256,10 @@
             self.hub.log("news_lost", why=why, left=len(self.known()))
             if not self.known():
                 self.gap = True
+        for piece, at in stream.granted.items():
+            # Lines of a table that it had begun to tell may be lost with it.
+            if self.hub.now() - at < self.hub.limits.late_row and stream.settled:
+                self.confirm(piece)
         for other in self.known():
             # What only the lost one had told, or was behind with.
             for proxy in set(self.proxies) | set(other.proxies):
