An assigner starts from its folder: list, drains and tables kept, trusted by their age

After a power cut with discovery down nothing was ordered. With [state] in the operator's file the list is kept on disk; a start goes by it, weighed by age and by who confirmed it, drains outlive older lists, and evidence (probes, lines, reports) raises trust until a list confirms.

Off, nothing of recovery, settings, lark, click or xxhash is imported.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -12,11 +12,36 @@
 from .net.log import Log, counted
 
 
-async def serve(config, path=None, check=False):
+COMMANDS = ("run", "check", "settings", "state")
+
+
+def operator(path):
+    """The operator's file, read and checked; without one, nothing of what it switches on is loaded."""
+    path = path or os.environ.get("HAVENDYKE_OPERATOR")
+    if not path:
+        return {}
+    from .settings import reader
+    try:
+        return reader.read(path)
+    except reader.BadSettings as error:
+        raise ConfigError(str(error)) from None
+
+
+def durable(given, log):
+    """What is kept on disk, where the operator's file says so."""
+    if "state" not in given:
+        return None
+    from .recovery.durable import Durable, Options
+    return Durable(Options(**{key.replace("-", "_"): value for key, value in given["state"].items()}), log)
+
+
+async def serve(config, path=None, check=False, given=None, named=None):
+    """`given`: the operator's file as read, `named`: where it is."""
     counters = {}
     hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines, config.limits.log_alike), counters)
     try:
-        assigner, over = Assigner(config, hub), asyncio.Event()
+        kept = None if check else durable(given or {}, hub.log)
+        assigner, over = Assigner(config, hub, kept), asyncio.Event()
     except ValueError as error:
         raise ConfigError(f"the configuration cannot be started with: {error}") from None
     if check:
@@ -30,13 +55,17 @@
     def end():
         # Nothing is worth waiting for: what is on its way stands by itself, the rest is the next start's.
         try:
+            if kept:
+                kept.end()
             show()
         finally:
             os._exit(0)
 
     def reload():
         try:
-            assigner.reload(load(os.environ, path, again=True))
+            # Both files or neither: what one of them switches on may go by the other.
+            again = operator(named)
+            assigner.reload(load(os.environ, path, again=True), [] if again == (given or {}) else ["operator"])
         except ConfigError as error:
             hub.count("reloads_refused")
             hub.log("reload_refused", cause=str(error)[:300])
@@ -64,15 +93,20 @@
 
 
 def main(arguments=None) -> int:
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if arguments and arguments[0] in COMMANDS:
+        from .cli.main import main as command
+        return command(arguments)
     parser = argparse.ArgumentParser(prog="havendyke", description="One assigner on sockets.")
     parser.add_argument("--config", help="the configuration's file; ROUTER_CONFIG by default")
+    parser.add_argument("--operator", help="the operator's own file; HAVENDYKE_OPERATOR by default")
     parser.add_argument("--check", action="store_true", help="read and check the configuration, then end")
     given = parser.parse_args(arguments)
     for name in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2):
         signal.signal(name, signal.SIG_IGN)  # until they mean something, they must not end the program
     try:
         config = load(os.environ, given.config)
-        asyncio.run(serve(config, given.config, given.check))
+        asyncio.run(serve(config, given.config, given.check, operator(given.operator), given.operator))
     except ConfigError as error:
         print(f"havendyke: {error}", file=sys.stderr)
         return 2
--- a/havendyke/cli/main.py
+++ b/havendyke/cli/main.py
@@ -61,9 +61,8 @@
 
 def main(words) -> int:
     try:
-        commands.main(words, prog_name="havendyke", standalone_mode=False)
-    except click.exceptions.Exit as error:
-        return error.exit_code
+        status = commands.main(words, prog_name="havendyke", standalone_mode=False)
+        return status if isinstance(status, int) else 0
     except click.ClickException as error:
         print(f"havendyke: {error.format_message()}", file=sys.stderr)
         return 2
@@ -72,4 +71,3 @@
         return 2
     except BrokenPipeError:
         return 0
-    return 0
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -54,6 +54,7 @@
     cell: int
     kind: int
     size: float
+    sure: bool = True          # False: the start is assumed, for want of trust in an old list; any other prevails
 
 
 # Events
--- a/havendyke/lab/disk.py
+++ b/havendyke/lab/disk.py
@@ -113,3 +113,26 @@
         self.call("sync_folder")
         self.memory.durable = {name: self.synced.get(id(data), self.memory.durable.get(name, b""))
                                for name, data in self.memory.live.items()}
+
+
+class Inline:
+    """A writer of no thread: what is put is committed before `put` returns, so that a run is the same every time."""
+
+    def __init__(self, folder, kept, options, told):
+        self.folder, self.told, self.counts = folder, told, {"commits": 0, "failures": 0}
+
+    def start(self):
+        pass
+
+    def put(self, changes, whole):
+        if not changes:
+            return
+        try:
+            self.folder.commit(changes, whole())
+            self.counts["commits"] += 1
+        except OSError as error:
+            self.counts["failures"] += 1
+            self.told("state_not_kept", cause=error.strerror)
+
+    def end(self, seconds):
+        pass
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -19,13 +19,16 @@
 
 
 class Assigner:
-    def __init__(self, config: Config, hub: Hub):
-        self.hub, self.door = hub, Door(config.settings, config.seed)
+    def __init__(self, config: Config, hub: Hub, durable=None):
+        """`durable`: what is kept on disk (`recovery.durable.Durable`), where the operator's file names a folder."""
+        self.hub, self.door, self.durable = hub, Door(config.settings, config.seed), durable
         self.started = self.config = config
         self.messages = Messages(config, self.door, hub.wall, hub.now)
         self.relay = Relay(hub, config.relay, self.messages, self.tell)
-        version = -1
-        if config.known:
+        version, kept = -1, durable and durable.begin(self.door, self.messages, config.settings.cold)
+        if kept:
+            self.door.inbox.append(kept)
+        elif config.known:
             event, version = self.messages.members(config.known, "stale")
             self.door.inbox.append(event)
         self.discovery = Discovery(hub, config.discovery, self.messages, self.tell, version)
@@ -39,15 +42,15 @@
         self.sweep()
         self.discovery.start()
 
-    def reload(self, config: Config):
-        """Takes over what can change while it runs, and says what waits for the next start."""
+    def reload(self, config: Config, later=()):
+        """Takes over what can change while it runs, and says what waits for the next start; `later`: what else does."""
         old, self.config = self.config, config
         if config.relay != old.relay:
             self.relay.move(config.relay)
         if config.discovery != old.discovery:
             self.discovery.move(config.discovery)
         later = [key for key in ("name", "listen", "settings", "words", "limits")
-                 if getattr(config, key) != getattr(self.started, key)]
+                 if getattr(config, key) != getattr(self.started, key)] + list(later)
         self.hub.count("reloads")
         self.hub.log("reloaded", relay=config.relay, discovery=config.discovery, after_restart=later)
 
@@ -76,6 +79,8 @@
             self.carry_out(orders)
         else:
             self.recover(events, began)
+        if self.durable and (raised := self.durable.turned(events, orders or [])):
+            self.tell(raised)
         self.hub.count("turns")
         took = self.hub.now() - began
         self.hub.counters["turn_longest_ms"] = max(self.hub.counters.get("turn_longest_ms", 0.0), round(took, 2))
@@ -135,7 +140,7 @@
     def counters(self) -> dict:
         used = resource.getrusage(resource.RUSAGE_SELF)
         peers = Counter(f"open_{connection.peer.name}" for connection in self.hub.slots)
-        return {**self.hub.counters, **peers, "memory_most_mb": round(used.ru_maxrss / 1024, 1),
+        return {**self.hub.counters, **peers, **(self.durable.counters() if self.durable else {}), "memory_most_mb": round(used.ru_maxrss / 1024, 1),
                 "descriptors": len(os.listdir("/proc/self/fd")), "log_dropped": self.hub.log.dropped,
                 "cpu_s": round(used.ru_utime + used.ru_stime, 3), "slots": len(self.hub.slots),
                 "slots_most": self.hub.slots.most, "collections": sum(g["collections"] for g in gc.get_stats()),
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -123,7 +123,7 @@
             self.version = version
             self.hub.count(f"list_{event.scope}")
             self.hub.log("list", scope=event.scope, version=version, entries=len(event.entries))
-            self.tell(event)
+            self.tell(self.messages.believed(event, version))
         else:
             self.hub.count("list_known")
 
--- a/havendyke/net/messages.py
+++ b/havendyke/net/messages.py
@@ -69,6 +69,7 @@
         self.kinds = {name: k for k, name in enumerate(words["kinds"])}
         self.names, self.proxies = words["classes"], words["proxies"] or 65536
         self.endpoints, self.started = {}, {}  # of servers, by their objects
+        self.told, self.keep = [], None  # the list that was read last; of a recovery: hears a list before the decisions do, and says what they are to hear
 
     # From collectors
 
@@ -108,19 +109,24 @@
         whole, entries = take(told, "all", bool), []
         for e in take(told, "targets", list):
             try:
-                entries.append((take(e, "uid", str), take(e, "endpoint", str, ""), self.entry(e)))
+                entries.append((take(e, "uid", str), take(e, "endpoint", str, ""), self.entry(e), e))
             except FieldError as error:
                 if spoilt is None:
                     raise
                 spoilt(error)
                 whole = False
         # Only what was read whole reaches the door.
-        for ident, end, entry in entries:
+        for ident, end, entry, _ in entries:
             entry.server = self.door.server(ident)
             if end:
                 self.endpoints[entry.server] = end
             entry.started = self.start(entry.server, entry.started)
-        return core.Members(scope or ("whole" if whole else "changes"), [entry for _, _, entry in entries]), version
+        self.told = [(ident, e, entry) for ident, _, entry, e in entries]
+        return core.Members(scope or ("whole" if whole else "changes"), [entry for _, _, entry, _ in entries]), version
+
+    def believed(self, event, version: int):
+        """The list that was read last, as the decisions are to hear it; once it is taken for the present one."""
+        return event if self.keep is None else self.keep(event, self.told, version)
 
     def entry(self, e: dict):
         boot, size = take(e, "boot_ms", NUMBER, 0), take(e, "capacity_hint", NUMBER, 1.0)
@@ -134,12 +140,16 @@
             self.endpoints.pop(server, None)
             self.started.pop(server, None)
 
+    def started_by(self, unix: float) -> float | None:
+        """Unix milliseconds in the clock's time, never to come; None for 0, long ago."""
+        return min(unix + self.wall(), self.now()) if unix else None
+
     def start(self, server, boot):
         # The same start is the same time for good: a step of the system's clock would look like a restart.
         known = self.started.get(server)
         if known is None or known[0] != boot:
             # One that is to come is another clock's error: the server runs, so it has started by now.
-            known = self.started[server] = (boot, min(boot + self.wall(), self.now()) if boot else None)
+            known = self.started[server] = (boot, self.started_by(boot))
         return known[1]
 
     # From the relay; None for an id that the settings leave no room for
--- a/havendyke/recovery/durable.py
+++ b/havendyke/recovery/durable.py
@@ -26,10 +26,10 @@
 
 
 class Durable:
-    """`log(event, **more)` may be called from the writer's thread; `disk` and `clock` are for tests."""
+    """`log(event, **more)` may be called from the writer's thread; `disk`, `clock` and `writing` are for tests."""
 
-    def __init__(self, options: Options, log, disk=None, clock=None):
-        self.options, self.log = options, log
+    def __init__(self, options: Options, log, disk=None, clock=None, writing=Writer):
+        self.options, self.log, self.writing = options, log, writing
         boot = boot_id()
         self.clock = clock or (lambda: stamp(boot))
         self.folder = Folder(disk or Disk(options.folder), options.log_most)
@@ -58,7 +58,7 @@
         door.shut.update(dict.fromkeys(self.found.kept.shut))
         if self.writes:
             options = WriterOptions(self.options.gather, self.options.pending, self.options.again, self.options.again_most)
-            self.writer = Writer(self.folder, self.keeper.present, options, self.log)
+            self.writer = self.writing(self.folder, self.keeper.present, options, self.log)
             self.writer.start()
         first = self.keeper.first()
         if not first:
--- a/havendyke/recovery/trust.py
+++ b/havendyke/recovery/trust.py
@@ -59,7 +59,7 @@
     if row.state != "ready":
         return Standing(uid, row.state, row.boot, 0.0, f"{row.state} when last listed")
     old = age(row.confirmed, now)
-    trust = trusted(old)
+    trust = min(trusted(old), VOUCHED[row.by])  # an answer just now is no list of yesterday
     if row.boot and now.wall - row.boot < cold:
         # A start that is told is better than one that is guessed, unless the guess is colder.
         trust = min(trust, max(0.0, (now.wall - row.boot) / cold) if cold else 1.0)
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -103,9 +103,10 @@
         for e in event.entries:
             server = e.server
             started = e.started if e.started is not None else -1e12
-            if server.started is None or started > server.started + 1:
-                server.started = started
-                if self.now - started < self.cold:
+            anew = server.started is None or started > server.started + 1
+            if anew or server.assumed:
+                server.started, server.assumed = started, not e.sure
+                if anew and self.now - started < self.cold:
                     server.forget()  # what was heard before its start says nothing of it
             server.state, server.zone = e.state, e.zone
             server.size = e.size if self.sized and e.size > 0 else 1.0
@@ -257,8 +258,9 @@
         mine = [p for p in self.slices if p.held]
         self.weigh(mine)
         lost = [p for p in mine if (o := p.owner()) is None or o.grade <= ILL]
-        for server in [s for s in self.servers if s.grade == COLD]:
-            # A cold server with slices from before its start is cut to what it can do, or it falls over.
+        for server in [s for s in self.servers if s.grade == COLD and not s.assumed]:
+            # A cold server with slices from before its start is cut to what it can do, or it falls over. One that
+            # only an old list makes cold keeps what stands: cut, a fleet that is well would lose its tables.
             over = server.load - 1.25 * self.usual * server.sure
             for piece in sorted(server.owned, key=lambda p: -p.demand):
                 lost += [piece] if over > 0 else []
@@ -312,8 +314,9 @@
             if fit := [s for s in some if self.fits(s, piece.demand, FULL)]:
                 return max(fit, key=lambda s: self.score(piece, s))
         # Never a cold one beyond its part: with all cold, a bare slice is refused, a felled server is lost.
-        for grade in (WARM, ILL):
-            if some := [s for s in pool if s.grade == grade]:
+        for some in ([s for s in pool if s.grade == WARM], [s for s in pool if s.grade == COLD and s.assumed],
+                     [s for s in pool if s.grade == ILL]):
+            if some:
                 return min(some, key=lambda s: self.part(s, piece.demand))
         return None
 
@@ -385,9 +388,11 @@
 
     def spare(self, piece):
         owner = piece.owner()
-        if owner is None or [s.grade for s in piece.wanted if s is not owner] == [WARM]:
+        def steady(s):
+            return s.grade == WARM or s.grade == COLD and s.assumed
+        if owner is None or [steady(s) for s in piece.wanted if s is not owner] == [True]:
             return
-        good = [s for s in self.servers if s.grade == WARM and s is not owner and not s.out]
+        good = [s for s in self.servers if steady(s) and s is not owner and not s.out]
         away = [s for s in good if s.zone != owner.zone] or good  # whatever takes the owner may take its zone
         piece.wanted = {owner: piece.wanted[owner]}
         if away:
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -60,6 +60,7 @@
     def __init__(self, ident, bins):
         self.id = ident
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
+        self.assumed = False                       # its start was made up by a recovery from an old list
         self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, 0, 1.0, 0
         self.latency, self.outcomes, self.held = Tally(bins), Tally(2), Tally(bins)
         self.streak, self.mute, self.probing, self.returning, self.failing = 0, 0, False, False, False
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,123 @@
+"""Commands as an operator calls them, and the program with a folder over an outright kill."""
+import json
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from helpers import raw_config, whole_list
+
+from havendyke.cli.main import main
+from havendyke.recovery.files import Disk, Folder
+from havendyke.recovery.kept import Kept, Row, Table, Tomb, difference
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """A folder with two servers, one of them drained."""
+    state = Kept(servers={"s1": Row("127.0.0.1:80", by="discovery"), "s2": Row(state="draining")},
+                 tombs={"s2": Tomb(0.0, "draining", 3, None)}, slices={4: Table({"s1": 1.0}, True)}, lists=3)
+    made = Folder(Disk(str(tmp_path / "state")))
+    made.open()
+    made.commit(difference(Kept(), state), state)
+    made.close()
+    return str(tmp_path / "state")
+
+
+def call(capsys, *words):
+    status = main(list(words))
+    out, err = capsys.readouterr()
+    return status, out, err
+
+
+def test_show_tells_what_a_start_would_believe(folder, capsys):
+    status, out, _ = call(capsys, "state", "show", folder, "--json")
+    told = json.loads(out)
+    assert status == 0 and told["servers"] == 2 and {b["server"]: b["state"] for b in told["believed"]} == {
+        "s1": "ready", "s2": "draining"}
+    assert "s1" in call(capsys, "state", "show", folder)[1]
+
+
+def test_verify_finds_damage_with_status_1(folder, capsys):
+    assert call(capsys, "state", "verify", folder)[0] == 0
+    path = next(Path(folder).glob("log-*"))
+    path.write_bytes(path.read_bytes()[:-3])
+    status, out, _ = call(capsys, "state", "verify", folder)
+    assert status == 1 and "torn" in out
+
+
+def test_export_import_compact_and_diff_go_round(folder, tmp_path, capsys):
+    _, out, _ = call(capsys, "state", "export", folder)
+    (tmp_path / "out.json").write_text(out)
+    assert call(capsys, "state", "diff", folder, str(tmp_path / "out.json"))[:2] == (0, "alike\n")
+    assert call(capsys, "state", "import", str(tmp_path / "other"), str(tmp_path / "out.json"))[0] == 0
+    assert call(capsys, "state", "diff", folder, str(tmp_path / "other"))[0] == 0
+    assert call(capsys, "state", "compact", folder)[0] == 0 and call(capsys, "state", "verify", folder)[0] == 0
+    changed = json.loads(out)
+    changed["changes"] = [c for c in changed["changes"] if c[0] != "tomb"]
+    (tmp_path / "less.json").write_text(json.dumps(changed))
+    status, told, _ = call(capsys, "state", "diff", folder, str(tmp_path / "less.json"))
+    assert status == 1 and '"lift"' in told
+
+
+@pytest.mark.parametrize("words, said", [
+    (["state", "show", "/nonexistent"], "no such folder"), (["state", "import", "{}", "/nonexistent"], "No such file"),
+    (["state", "diff", "{}", __file__], "JSONDecodeError"), (["settings", "explain", "foldr"], "did you mean 'folder'?"),
+    (["settings", "show", "/nonexistent"], "No such file"), (["nosuch"], "No such command"), (["state", "show"], "FOLDER"),
+    (["check"], "nothing to check"), (["check", "--operator", __file__], "cannot read")])
+def test_what_is_wrong_is_one_line_and_status_2(folder, capsys, monkeypatch, words, said):
+    monkeypatch.delenv("ROUTER_CONFIG", raising=False)
+    status, _, err = call(capsys, *[w.replace("{}", folder) for w in words])
+    assert status == 2 and said in err and err.count("\n") == 1
+
+
+def test_a_folder_in_use_is_not_written(folder, capsys):
+    holder = Folder(Disk(folder))
+    holder.open()
+    assert call(capsys, "state", "compact", folder)[0] == 2
+    assert call(capsys, "state", "show", folder)[0] == 0  # looking is always possible
+    holder.close()
+
+
+def test_settings_are_shown_with_their_place(tmp_path, capsys):
+    (tmp_path / "x.conf").write_text("[state]\nfolder /var/x\n")
+    status, out, _ = call(capsys, "settings", "show", str(tmp_path / "x.conf"))
+    assert status == 0 and "x.conf:2" in out and "gather = 50ms    (default)" in out
+    assert "Size of the log" in call(capsys, "settings", "explain", "state.log-most")[1]
+
+
+def run(tmp_path, *more):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    raw = raw_config(listen=listen, discovery="127.0.0.1:1", distributor={"address": "127.0.0.1:1"}, known=whole_list("s1"))
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    return subprocess.Popen([sys.executable, "-m", "havendyke", "--config", str(tmp_path / "config.json"), *more],
+                            stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+
+def until(process, event):
+    return next(told for told in map(json.loads, process.stderr) if told["event"] == event)
+
+
+def test_the_program_keeps_its_state_over_an_outright_kill_and_refuses_a_bad_file(tmp_path, folder):
+    (tmp_path / "op.conf").write_text(f"[state]\nfolder {folder}\n")
+    for how in (signal.SIGKILL, signal.SIGTERM):
+        process = run(tmp_path, "--operator", str(tmp_path / "op.conf"))
+        try:
+            assert until(process, "state_recovered")["drains"] == 1
+            until(process, "listening")
+            if how == signal.SIGTERM:
+                (tmp_path / "op.conf").write_text("[state]\nfoldr /x\n")
+                process.send_signal(signal.SIGHUP)
+                assert "op.conf:2" in until(process, "reload_refused")["cause"]
+            process.send_signal(how)
+            out, _ = process.communicate(timeout=10)
+            assert how == signal.SIGKILL or json.loads(out)["state_commits"] >= 1
+        finally:
+            process.kill()
+            process.communicate()
+    process = run(tmp_path, "--operator", str(tmp_path / "op.conf"))
+    _, err = process.communicate(timeout=10)
+    assert process.returncode == 2 and b"did you mean 'folder'?" in err and err.count(b"\n") == 1
--- /dev/null
+++ b/tests/recovery/test_starts.py
@@ -0,0 +1,198 @@
+"""Whole assigners that start from a folder while discovery is down, late, older, garbled or changed."""
+import pytest
+from helpers import SETTINGS, listed, raw_config
+
+from havendyke import config
+from havendyke.lab.disk import Inline, LabDisk, Memory
+from havendyke.lab.peers import World
+from havendyke.net.assigner import Assigner
+from havendyke.recovery.clocks import Stamp
+from havendyke.recovery.durable import Durable, Options
+from havendyke.rules import CLOSED, COLD, WARM
+
+NAMES = [f"s{k}" for k in range(1, 7)]
+DAY = 86_400_000.0
+COLDNESS = {"obligations": {"cold": 16e9, "coldFrom": 0.2, "overloadFactor": 3.0}}
+
+
+class Life:
+    """One folder over several runs of an assigner; `wall` is the machine's clock (Unix ms)."""
+
+    def __init__(self):
+        self.memory, self.wall, self.boot, self.store, self.entries = Memory(), 1.7e12, 1, None, None
+        self.since = 5000.0
+
+    def start(self, disk=None, discovery=True, proxies=range(6), **entries):
+        """A run; the store and discovery's list go on from the last one."""
+        self.memory.crash("all")
+        self.store = self.store or {k: {NAMES[k % 6]: 1.0} for k in range(SETTINGS["familyInfo"]["keyRanges"])}
+        self.entries = (self.entries or {n: listed(n) for n in NAMES}) | entries
+        raw = raw_config(settings=SETTINGS | COLDNESS)
+
+        def make(hub):
+            began, wall, boot, since = hub.time, self.wall, f"boot-{self.boot}", self.since
+            clock = lambda: Stamp(wall + hub.time - began, boot, since + hub.time - began)  # noqa: E731
+            hub.wall = lambda: began - wall
+            self.durable = Durable(Options("/"), hub.log, disk or LabDisk(self.memory), clock, Inline)
+            return Assigner(config.read_config(raw, {}), hub, self.durable)
+
+        w = World(make, self.store, self.entries, proxies)
+        w.registry.down = not discovery
+        w.assigner.start()
+        self.world = w
+        return w
+
+    def cut(self, later, same_boot=False):
+        """Power is gone; the machine comes back so much later by its wall clock."""
+        self.wall += self.world.hub.time - 1000.0 + later
+        self.since = self.since + self.world.hub.time - 1000.0 + later if same_boot else 5000.0
+        self.boot += not same_boot
+
+    def grades(self):
+        return {s.id: s.grade for s in self.world.assigner.door.controller.servers}
+
+
+def lived(discovery=True, **entries):
+    life = Life()
+    w = life.start()
+    w.pass_time(5000)
+    for uid, state in entries.items():
+        w.registry.change(**{uid: {"state": state}})
+        w.pass_time(3000)
+    return life
+
+
+@pytest.mark.parametrize("later, same_boot, expected", [
+    (2000.0, True, WARM), (3_600_000.0, False, COLD), (7 * DAY, False, COLD), (-DAY, False, COLD), (365 * DAY, False, COLD)])
+def test_with_discovery_down_the_kept_list_is_gone_by_and_weighed_by_its_age(later, same_boot, expected):
+    life = lived()
+    life.cut(later, same_boot)
+    w = life.start(discovery=False)
+    w.pass_time(200)
+    assert set(life.grades().values()) == {expected}
+    w.pass_time(8000)
+    held = [p for p in w.assigner.door.controller.slices if p.held]
+    assert len(held) == 8 and all(p.present for p in held)
+    assert not w.disagreements()
+    # A server that dies then is left, by its probes alone.
+    w.pass_time(10_000)
+    assert all(len(table) >= 1 for table in w.relay.store.values())
+
+
+def test_without_a_folder_nothing_is_ordered_as_before():
+    life = Life()
+    w = life.start(discovery=False)
+    w.pass_time(8000)
+    assert not w.assigner.door.controller.servers or all(not s.state for s in w.assigner.door.controller.servers)
+
+
+@pytest.mark.parametrize("state", ["terminating", "terminated"])
+def test_traffic_does_not_return_to_what_was_drained_before_the_cut(state):
+    life = lived(s2=state)
+    assert not any("s2" in table for table in life.store.values())
+    life.cut(60_000.0)
+    life.store[1] = {"s2": 1.0}  # the store's lines of another controller still name it
+    w = life.start(discovery=False)
+    w.pass_time(6000)
+    assert life.grades().get("s2", CLOSED) == CLOSED  # let go of, once nothing names it
+    out = {s.id for s in w.assigner.door.controller.servers if s.out}
+    assert "s2" not in w.relay.store[1] or "s2" in out
+
+
+def test_discovery_that_comes_back_with_an_older_list_does_not_undo_a_drain():
+    life = lived(s2="terminating")
+    version = life.world.registry.version
+    life.cut(60_000.0)
+    w = life.start(discovery=False)
+    w.pass_time(3000)
+    w.registry.entries["s2"] = listed("s2")
+    w.registry.version = version - 1
+    w.registry.down = False
+    w.pass_time(5000)
+    assert life.grades()["s2"] == CLOSED and life.durable.keeper.counts["tombs_kept"] > 0
+    w.registry.version = version
+    w.registry.change(s2={"state": "in_service"})
+    w.pass_time(3000)
+    assert life.grades()["s2"] == WARM
+
+
+def test_a_name_that_came_back_with_a_newer_start_is_cold_and_not_drained():
+    life = lived(s2="terminating")
+    life.cut(60_000.0)
+    w = life.start(discovery=False)
+    w.pass_time(1000)
+    w.registry.change(s2={"state": "in_service", "boot_ms": round(life.wall)})
+    w.registry.version += 5
+    w.registry.down = False
+    w.pass_time(2000)
+    assert life.grades()["s2"] == COLD
+
+
+def test_what_discovery_confirms_is_warm_at_once():
+    life = lived()
+    life.cut(7 * DAY)
+    w = life.start(discovery=False)
+    w.pass_time(1000)
+    assert set(life.grades().values()) == {COLD}
+    w.registry.down = False
+    w.pass_time(3000)
+    assert set(life.grades().values()) == {WARM}
+
+
+def test_half_of_the_list_is_dead_or_elsewhere():
+    life = lived()
+    life.cut(7 * DAY)
+    w = life.start(discovery=False)
+    w.probe_answers = "refused"
+    w.pass_time(500)
+    w.probe_answers = "well"
+    w.pass_time(5000)
+    assert all(p.present for p in w.assigner.door.controller.slices if p.held)
+
+
+def test_starts_in_quick_succession_warm_nothing_early_and_push_no_more():
+    life, grades, pushes = lived(), [], []
+    life.cut(7 * DAY)
+    for _ in range(24):
+        w = life.start(discovery=False)
+        w.pass_time(900)
+        grades.append(min(life.grades().values()))
+        pushes.append(sum(event == "push" for event, _ in w.hub.logged))
+        life.cut(100.0)
+    assert grades[0] == COLD and grades[8] == COLD and grades[-1] == WARM  # 16 s of warmth, over all starts together
+    assert max(pushes[1:]) <= pushes[0] + 1
+
+
+@pytest.mark.parametrize("fault, said", [
+    (dict(read_only=True), "Read-only"), (dict(full=0), "No space"), (dict(sync_fails=True), "Input/output")])
+def test_a_disk_at_fault_keeps_nobody_from_starting(fault, said):
+    life = lived(s2="terminating")
+    life.cut(60_000.0)
+    disk = LabDisk(life.memory, **fault)
+    w = life.start(disk=disk, discovery=False)
+    w.pass_time(6000)
+    assert life.grades()["s2"] == CLOSED and len(life.grades()) >= 6
+    assert any(said in str(more) for event, more in w.hub.logged if event in ("state", "state_not_kept"))
+
+
+def test_another_process_has_the_folder():
+    life = lived()
+    life.memory.crash("all")
+    life.memory.locked = True
+    events = []
+    made = Durable(Options("/"), lambda event, **more: events.append((event, more)), LabDisk(life.memory),
+                   lambda: Stamp(1.7e12, "b", 1.0), Inline)
+    assert not made.writes and made.found.kept.servers and events[0][0] == "state_not_kept"
+
+
+def test_a_reload_in_the_middle_of_a_recovery_goes_on():
+    life = lived()
+    life.cut(3_600_000.0)
+    w = life.start(discovery=False)
+    w.pass_time(100)
+    w.assigner.reload(config.read_config(raw_config(settings=SETTINGS | COLDNESS, discovery="127.0.0.2:8500", distributor={
+        "address": "127.0.0.2:6400"}), {}))
+    w.pass_time(4000)
+    w.registry.down = False
+    w.pass_time(6000)
+    assert set(life.grades().values()) == {WARM} and not w.disagreements()
--- a/tests/recovery/test_trust.py
+++ b/tests/recovery/test_trust.py
@@ -31,11 +31,16 @@
     (Stamp(0.0, "boot-2", 49_000.0), 1.0), (Stamp(0.0, "boot-2", NOW.since - 50_000.0), 0.75), (before(3e5), 0.5),
     (before(DAY / 2), 0.0), (before(7 * DAY), 0.0), (before(-DAY), 0.0), (None, 0.0)])
 def test_trust_falls_with_age_and_a_step_more_across_a_restart(confirmed, expected):
-    one = trust.standing("s1", Row(confirmed=confirmed), None, NOW, COLD)
+    one = trust.standing("s1", Row(confirmed=confirmed, by="discovery"), None, NOW, COLD)
     assert one.state == "ready" and one.trust == expected
     assert one.start == (0.0 if expected == 1.0 else NOW.wall - COLD * expected)
 
 
+@pytest.mark.parametrize("by, expected", [("disk", 0.0), ("probe", 0.25), ("report", 0.75), ("discovery", 1.0)])
+def test_a_confirmation_is_worth_what_its_source_vouches_for(by, expected):
+    assert trust.standing("s1", Row(confirmed=NOW, by=by), None, NOW, COLD).trust == expected
+
+
 def test_a_week_old_list_is_cold_throughout():
     kept = Kept(servers={f"s{k}": Row(confirmed=before(7 * DAY), by="discovery") for k in range(20)})
     assert {one.start for one in trust.recovered(kept, NOW, COLD)} == {NOW.wall}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -620,3 +620,35 @@
     a, = fleet(c, 1, started=200_000.0)
     c.judge()
     assert a.grade == rules.COLD and a.capacity > 0
+
+
+def assumed(c, servers, started):
+    c.members(core.Members("stale", [core.Entry(s, "ready", started, k % 3, 0, 0, 1.0, sure=False)
+                                     for k, s in enumerate(servers)]))
+
+
+def test_servers_that_only_an_old_list_makes_cold_keep_what_stands():
+    # Cut like servers that have just started, a fleet that is well lost most of its tables to a restart of ours.
+    c = controller()
+    servers = [c.server(f"s{k}") for k in range(3)]
+    assumed(c, servers, c.now)
+    made = slices(c, servers * 2)
+    join(c, 2)
+    c.judge()
+    c.plan()
+    assert [s.grade for s in servers] == [rules.COLD] * 3 and all(p.owner() is not None for p in made)
+    c.members(core.Members("changes", [core.Entry(servers[0], "ready", c.now, 0, 0, 0, 1.0)]))  # told: it did start
+    c.judge()
+    c.plan()
+    assert sum(p.owner() is servers[0] for p in made) < 2
+
+
+def test_an_assumed_start_gives_way_to_any_other():
+    c = controller()
+    a, = [c.server("a")]
+    assumed(c, [a], c.now)
+    assumed(c, [a], c.now - 8000.0)  # trust was raised
+    assert a.started == c.now - 8000.0 and a.assumed
+    c.members(core.Members("changes", [core.Entry(a, "ready", None, 0, 0, 0, 1.0)]))
+    c.judge()
+    assert a.grade == rules.WARM and not a.assumed
