--- /dev/null
+++ b/fuzz/targets/recovery.py
@@ -0,0 +1,186 @@
+"""What lies on disk and what is believed of it: damaged files, crashed commits, clocks that were set, the operator's file."""
+import math
+from copy import deepcopy
+
+from havendyke.lab.disk import Died, LabDisk, Memory
+from havendyke.recovery import kept as state
+from havendyke.recovery import records
+from havendyke.recovery.clocks import Stamp
+from havendyke.recovery.files import Folder
+from havendyke.recovery.kept import BadChange, Kept, Row, Table
+from havendyke.recovery.trust import TOMBS, Beliefs
+from havendyke.settings import reader, schema
+
+from ..draw import Draw
+from ..registry import hold, register
+
+FRAMES = records.head() + b"".join(records.frame(k, kind, told) for k, (kind, told) in enumerate([
+    ("begin", {"generation": 1}), ("lists", {"version": 5}), ("shut", {"uid": "s1"}), ("end", {})]))
+
+
+@register(name="records", about="files of records, damaged anywhere: only what was written comes out", most=400,
+          covers=("recovery/records", "recovery/kept"), words=(records.MAGIC, b"\0\2", b"\0\1", b"[0,", b'"entry"', b"{}]"),
+          seeds=lambda: [FRAMES, FRAMES[:-1], FRAMES[:9], b"", records.head(1) + records.frame(0, "entry", {}, 1),
+                         records.head() + b"\xff" * 20, FRAMES + FRAMES[8:], records.head() + records.frame(7, "x", {})])
+def read(data):
+    try:
+        schema_, made, damage = records.read(data)
+    except records.BadFile as error:
+        hold("\n" not in str(error), "not one line:", str(error))
+        return
+    # What was accepted is, byte for byte, what would be written.
+    again = records.head(schema_)
+    for serial, kind, fields in made:
+        at = len(again)
+        size = int.from_bytes(data[at:at + 4], "big")
+        hold(data[at + 4:at + 12] == records.checksum(data[at:at + 4], data[at + 12:at + 12 + size], schema_), "a checksum")
+        again += data[at:at + 12 + size]
+    hold(damage is None and len(again) == len(data) or damage and damage.at == len(again), "read to", len(again), damage)
+    made_of = Kept()
+    for _, kind, fields in made:
+        try:
+            state.apply(made_of, *records.migrate(schema_, kind, fields))
+        except BadChange:
+            pass
+    hold(state.difference(Kept(), made_of) is not None, "no state")
+
+
+def changed(kept: Kept, draw):
+    """A state with one drawn change."""
+    made, uid = deepcopy(kept), f"s{draw.below(4)}"
+    kind = draw.below(4)
+    if kind == 0:
+        made.servers[uid] = Row(state=draw.choice(state.STATES[:2]), boot=float(draw.below(9)), lists=draw.below(9))
+    elif kind == 1:
+        made.servers.pop(uid, None)
+        made.tombs[uid] = state.Tomb(0.0, "gone", draw.below(9), None)
+    elif kind == 2:
+        made.slices[draw.below(3)] = Table({uid: draw.part()}, draw.flag())
+    else:
+        made.shut.pop(uid, None) if draw.flag() else made.shut.setdefault(uid, True)
+    return made
+
+
+@register(name="folder", about="commits, new generations, crashes at any call, bits flipped: one of the states that were",
+          covers=("recovery/files", "recovery/kept"), engine="hypothesis", step=4, most=80,
+          seeds=lambda: [bytes([0, k, 0, 0, 1, k, 9, 0, 2, k, 3, 0, 3, k, 7, 1, 0, 5, 5, 0]) for k in (0, 7, 40, 90, 255)])
+def folder(data):
+    memory, present = Memory(), Kept()
+    committed, flipped = [deepcopy(present)], False
+    made = Folder(LabDisk(memory), 400)
+    made.open()
+    for begin in range(0, len(data), 4):
+        draw = Draw(data[begin:begin + 4])
+        kind, a = draw.below(5), draw.byte()
+        wanted = changed(present, draw)
+        try:
+            if kind < 2:
+                changes = state.difference(present, wanted)
+                if changes:
+                    made.commit(changes, wanted)
+                    present = wanted
+                    committed.append(deepcopy(present))
+                continue
+            if kind == 2:
+                # It dies at a call of the commit: this state may have been kept, or not.
+                made.disk.stop_at = made.disk.calls + 1 + a % 9
+                committed.append(deepcopy(wanted))
+                made.commit(state.difference(present, wanted), wanted)
+                present = wanted
+        except Died:
+            pass
+        memory.crash(("all", "none", "half")[a % 3])
+        if kind == 4 and memory.live:
+            name = sorted(memory.live)[a % len(memory.live)]
+            if memory.live[name]:
+                memory.live[name][a * 7 % len(memory.live[name])] ^= 1 << a % 8
+                flipped = True
+        made = Folder(LabDisk(memory), 400)
+        found = made.open()
+        hold(found.kept in committed, "a state that never was:", found.said)
+        # Without damage nothing that was acknowledged is lost.
+        hold(flipped or found.kept in (present, committed[-1]), "older than what was acknowledged:", found.said)
+        present = found.kept
+        committed.append(deepcopy(present))
+    hold(sum(n.startswith("damaged") for n in memory.live) <= 5, "more damaged files than are kept")
+
+
+COLD = 16_000.0
+
+
+@register(name="beliefs", about="lists, evidence, restarts and set clocks: drains hold, trust is earned",
+          covers=("recovery/trust", "recovery/clocks", "recovery/kept"), engine="hypothesis", step=4, most=120,
+          seeds=lambda: [bytes([k, a, 40, 3] * 4) for k in range(7) for a in (0, 9)])
+def beliefs(data):
+    wall, boot, since = 1.7e12, 1, 50_000.0
+    now = lambda: Stamp(wall, f"boot-{boot}", since)  # noqa: E731
+    kept = Kept()
+    made, drained, last = Beliefs(kept, now(), COLD), {}, 0
+    for begin in range(0, len(data), 4):
+        draw = Draw(data[begin:begin + 4])
+        kind, a, b, c = draw.below(7), draw.byte(), draw.byte(), draw.byte()
+        uid = f"s{a % 3}"
+        if kind == 0:
+            wall, since = wall + b * 1000.0, since + b * 1000.0
+        elif kind == 1:
+            wall += (b - 128) * 3_600_000.0                    # somebody sets the clock
+        elif kind == 2:                                        # a start: of the program, or of the machine
+            if c & 1:
+                boot, since = boot + 1, 1000.0 + b
+                wall += b * b * 1000.0
+            made = Beliefs(kept, now(), COLD)
+            for one in made.first:
+                hold(0.0 <= one.trust <= 1.0 and math.isfinite(one.start), "a trust of", one.trust)
+                hold(one.state != "ready" or one.uid not in drained, "a drained server is ready:", one)
+        elif kind == 3:
+            last += 1
+            made.listed(uid, Row(state="draining" if c & 1 else "gone", boot=float(b % 3), lists=last), now())
+            drained[uid] = b % 3
+        elif kind == 4:
+            last += 1
+            told = made.listed(uid, Row(state="ready", boot=float(b % 3), lists=last), now())
+            hold(told.state == "ready", "the newest list is not believed of", uid)
+            drained.pop(uid, None)
+        elif kind == 5:
+            one = made.hear(uid, state.SOURCES[1 + b % 3], now())
+            hold(one is None or uid not in drained, "evidence lifts a drain:", one)
+            hold(one is None or 0.0 < one.trust < 1.0, "evidence makes a trust of", one)
+        else:
+            made.dropped(uid, now())
+            if uid in kept.tombs:
+                drained[uid] = 0
+        for name, row in kept.servers.items():
+            hold(row.state in state.STATES[:2], name, "is", row.state)
+        hold(len(kept.tombs) <= TOMBS, "tombs without bound")
+        copy = Kept()
+        for kind_, fields in state.snapshot(kept):
+            state.apply(copy, kind_, fields)
+        hold(copy == kept, "a snapshot leads elsewhere")
+
+
+@register(name="operator", about="the operator's file as text: read, or refused in one line with its place", most=300,
+          covers=("settings/reader", "settings/schema"),
+          words=(b"[state]\n", b"folder /x\n", b"gather 5ms\n", b"include ", b"#", b'"', b"\r\n", b"log-most 8MB\n", b"yes"),
+          seeds=lambda: [b"[state]\nfolder /x\n", b"[state]\nfolder \"/a b\"\ngather 20ms # x\nlog-most 64MB\n", b"", b"include main",
+                         b"[state]\npending 99\n", b"[x]\n", b"folder", b"[state]\nfolder /x /y\n", b"\xff", b"[state]\nfolder x\n",
+                         b"[state]\r\nfolder /x\r\nagain 0.5s", b"include include\n", b"[state]\nfolder /x\nagain 1d\n"])
+def operator(data):
+    def load(path):
+        hold(path.startswith("/"), "looked at", path)
+        if path != "/etc/main":
+            raise reader.BadSettings(f"{path}: No such file or directory")
+        try:
+            return data.decode()
+        except UnicodeDecodeError:
+            raise reader.BadSettings(f"{path}:1:1: not UTF-8") from None
+
+    try:
+        file = reader.gather("/etc/main", load)
+        made = {name: reader.section(file, name) for name in file.sections}
+    except reader.BadSettings as error:
+        hold("\n" not in str(error) and str(error).startswith("/"), "not one line with its place:", str(error))
+        return
+    for name, values in made.items():
+        for key, value in values.items():
+            of = schema.of(name)[key]
+            hold(of.kind not in ("duration", "size", "count") or of.least <= value <= of.most, key, "is", value)
--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -12,7 +12,7 @@
 from .net.log import Log, counted
 
 
-COMMANDS = ("run", "check", "settings", "state")
+COMMANDS = ("run", "check", "events", "settings", "state")
 
 
 def operator(path):
--- a/havendyke/cli/main.py
+++ b/havendyke/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 
 COMMANDS = {"check": "the configuration and the operator's file, without a start",
+            "events": "what the lines of the log mean",
             "settings": "the operator's file: show, explain, page", "state": "what is kept on disk: show, verify, compact, "
             "export, import, diff"}
 
--- /dev/null
+++ b/havendyke/lab/life.py
@@ -0,0 +1,43 @@
+"""One machine's assigner over several starts, in simulated time: its folder, its clocks, the relay's store."""
+from .. import config
+from ..net.assigner import Assigner
+from ..recovery.clocks import Stamp
+from ..recovery.durable import Durable, Options
+from .disk import Inline, LabDisk, Memory
+from .peers import World
+
+
+class Life:
+    """One folder over several runs of an assigner; `wall` is the machine's clock (Unix ms). `raw` is the platform's
+    configuration, `entries` discovery's list by uid; each slice begins on one server, in turn."""
+
+    def __init__(self, raw: dict, entries: dict):
+        self.raw = raw
+        self.memory, self.wall, self.boot, self.entries = Memory(), 1.7e12, 1, dict(entries)
+        names, count = list(entries), raw["settings"]["familyInfo"]["keyRanges"]
+        self.store = {k: {names[k % len(names)]: 1.0} for k in range(count)}
+        self.since = 5000.0
+
+    def start(self, disk=None, discovery=True, proxies=range(6), keeps=True, **entries):
+        """A run; the store and discovery's list go on from the last one."""
+        self.memory.crash("all")
+        self.entries |= entries
+
+        def make(hub):
+            began, wall, boot, since = hub.time, self.wall, f"boot-{self.boot}", self.since
+            clock = lambda: Stamp(wall + hub.time - began, boot, since + hub.time - began)  # noqa: E731
+            hub.wall = lambda: began - wall
+            self.durable = Durable(Options("/"), hub.log, disk or LabDisk(self.memory), clock, Inline)
+            return Assigner(config.read_config(self.raw, {}), hub, self.durable if keeps else None)
+
+        w = World(make, self.store, self.entries, proxies)
+        w.registry.down = not discovery
+        w.assigner.start()
+        self.world = w
+        return w
+
+    def cut(self, later, same_boot=False):
+        """Power is gone; the machine comes back so much later by its wall clock."""
+        self.wall += self.world.hub.time - 1000.0 + later
+        self.since = self.since + self.world.hub.time - 1000.0 + later if same_boot else 5000.0
+        self.boot += not same_boot
--- a/havendyke/lab/peers.py
+++ b/havendyke/lab/peers.py
@@ -179,7 +179,7 @@
 
     def __init__(self, world, entries: dict):
         self.world, self.entries, self.version, self.changed = world, entries, 1, {}
-        self.watchers, self.down, self.spoil = [], False, None
+        self.watchers, self.down, self.spoil, self.garbage = [], False, None, b""
         world.after(EMPTY, self.empty)
 
     def empty(self):
@@ -207,6 +207,9 @@
         if self.down:
             peer.silent = True
             return
+        if self.garbage:
+            peer.say(self.garbage)
+            return
         if not peer.follow:
             body = self.body(True)
             peer.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
--- a/tests/recovery/test_starts.py
+++ b/tests/recovery/test_starts.py
@@ -3,9 +3,8 @@
 from helpers import SETTINGS, listed, raw_config
 
 from havendyke import config
-from havendyke.lab.disk import Inline, LabDisk, Memory
-from havendyke.lab.peers import World
-from havendyke.net.assigner import Assigner
+from havendyke.lab.disk import Inline, LabDisk
+from havendyke.lab.life import Life
 from havendyke.recovery.clocks import Stamp
 from havendyke.recovery.durable import Durable, Options
 from havendyke.rules import CLOSED, COLD, WARM
@@ -15,45 +14,16 @@
 COLDNESS = {"obligations": {"cold": 16e9, "coldFrom": 0.2, "overloadFactor": 3.0}}
 
 
-class Life:
-    """One folder over several runs of an assigner; `wall` is the machine's clock (Unix ms)."""
-
+class Lived(Life):
     def __init__(self):
-        self.memory, self.wall, self.boot, self.store, self.entries = Memory(), 1.7e12, 1, None, None
-        self.since = 5000.0
-
-    def start(self, disk=None, discovery=True, proxies=range(6), **entries):
-        """A run; the store and discovery's list go on from the last one."""
-        self.memory.crash("all")
-        self.store = self.store or {k: {NAMES[k % 6]: 1.0} for k in range(SETTINGS["familyInfo"]["keyRanges"])}
-        self.entries = (self.entries or {n: listed(n) for n in NAMES}) | entries
-        raw = raw_config(settings=SETTINGS | COLDNESS)
-
-        def make(hub):
-            began, wall, boot, since = hub.time, self.wall, f"boot-{self.boot}", self.since
-            clock = lambda: Stamp(wall + hub.time - began, boot, since + hub.time - began)  # noqa: E731
-            hub.wall = lambda: began - wall
-            self.durable = Durable(Options("/"), hub.log, disk or LabDisk(self.memory), clock, Inline)
-            return Assigner(config.read_config(raw, {}), hub, self.durable)
-
-        w = World(make, self.store, self.entries, proxies)
-        w.registry.down = not discovery
-        w.assigner.start()
-        self.world = w
-        return w
-
-    def cut(self, later, same_boot=False):
-        """Power is gone; the machine comes back so much later by its wall clock."""
-        self.wall += self.world.hub.time - 1000.0 + later
-        self.since = self.since + self.world.hub.time - 1000.0 + later if same_boot else 5000.0
-        self.boot += not same_boot
+        super().__init__(raw_config(settings=SETTINGS | COLDNESS), {n: listed(n) for n in NAMES})
 
     def grades(self):
         return {s.id: s.grade for s in self.world.assigner.door.controller.servers}
 
 
 def lived(discovery=True, **entries):
-    life = Life()
+    life = Lived()
     w = life.start()
     w.pass_time(5000)
     for uid, state in entries.items():
@@ -80,7 +50,7 @@
 
 
 def test_without_a_folder_nothing_is_ordered_as_before():
-    life = Life()
+    life = Lived()
     w = life.start(discovery=False)
     w.pass_time(8000)
     assert not w.assigner.door.controller.servers or all(not s.state for s in w.assigner.door.controller.servers)
@@ -196,3 +166,34 @@
     w.registry.down = False
     w.pass_time(6000)
     assert set(life.grades().values()) == {WARM} and not w.disagreements()
+
+
+@pytest.mark.parametrize("garbage", [
+    b"junk\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n{", b"HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n"
+    b'{"rev":9,"all":true,"targets":5}'])
+def test_discovery_that_answers_garbage_is_as_one_that_is_down(garbage):
+    life = lived(s2="terminating")
+    life.cut(3_600_000.0)
+    w = life.start(discovery=False)
+    w.registry.down, w.registry.garbage = False, garbage
+    w.pass_time(8000)
+    assert life.grades()["s2"] == CLOSED and sum(g >= COLD for g in life.grades().values()) == 5
+    w.registry.garbage = b""
+    w.pass_time(6000)
+    assert {g for n, g in life.grades().items() if n != "s2"} == {WARM} and not w.disagreements()
+
+
+def test_a_torn_last_record_and_a_restart_of_the_relay_in_the_middle():
+    life = lived(s2="terminating")
+    log = max(n for n in life.memory.durable if n.startswith("log"))
+    life.memory.durable[log] = life.memory.durable[log][:-5]
+    life.memory.live[log] = bytearray(life.memory.durable[log])
+    life.cut(1000.0)
+    w = life.start(discovery=False)
+    w.pass_time(300)
+    for peer in w.relay.peers:
+        peer.close()
+    w.pass_time(9000)
+    assert not w.disagreements() and len([g for g in life.grades().values() if g >= COLD]) >= 5
+    assert any("torn" in str(more) for event, more in w.hub.logged if event == "state")
