One place makes connections, in service and in the laboratory

Cause: the laboratory's hub repeated how a connection gets its slot and its time; unused names were left in new files. Change: Hub.placed serves both.

--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -3,7 +3,6 @@
 An input is a program of steps of four bytes: what, and three that say how. Each target draws from its own part of
 the steps, so that short programs go deep; `world` draws from all of them.
 """
-from dataclasses import replace
 
 from havendyke import config
 from havendyke import interface as core
@@ -16,7 +15,7 @@
 
 from ..draw import Draw
 from ..registry import hold, register
-from .world import SETTINGS, known, listed, raw_config
+from .world import known, listed, raw_config
 
 SERVERS = [f"s{k}" for k in range(1, 7)]
 ADDRESSES = [{"distributor": {"address": f"127.0.0.{k}:6400"}, "discovery": f"127.0.0.{k}:8500"} for k in (1, 2, 3)]
--- a/havendyke/lab/hub.py
+++ b/havendyke/lab/hub.py
@@ -4,7 +4,7 @@
 from ..config import Limits
 from ..net.buffer import Budget
 from ..net.deadlines import Deadlines
-from ..net.hub import Connection, Hub
+from ..net.hub import Hub
 from ..net.slots import Slots
 
 
@@ -55,12 +55,9 @@
         self.later.append(call)
 
     def connect(self, address, peer, wait=None):
-        made = Connection(self, peer, None)
-        made.number = self.slots.take(made)
-        if made.number is None:
-            self.count("slots_full")
+        made = self.placed(peer, wait)
+        if made is None:
             return None
-        made.deadline = self.after(wait or self.limits.connect, lambda: made.close("timeout"))
         made.address = address
         self.made.append(made)
         if self.dialled:
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -140,7 +140,9 @@
     def counters(self) -> dict:
         used = resource.getrusage(resource.RUSAGE_SELF)
         peers = Counter(f"open_{connection.peer.name}" for connection in self.hub.slots)
-        return {**self.hub.counters, **peers, **(self.durable.counters() if self.durable else {}), "memory_most_mb": round(used.ru_maxrss / 1024, 1),
+        kept = self.durable.counters() if self.durable else {}
+        return {**self.hub.counters, **peers, **kept,
+                "memory_most_mb": round(used.ru_maxrss / 1024, 1),
                 "descriptors": len(os.listdir("/proc/self/fd")), "log_dropped": self.hub.log.dropped,
                 "cpu_s": round(used.ru_utime + used.ru_stime, 3), "slots": len(self.hub.slots),
                 "slots_most": self.hub.slots.most, "collections": sum(g["collections"] for g in gc.get_stats()),
--- a/havendyke/net/hub.py
+++ b/havendyke/net/hub.py
@@ -139,17 +139,23 @@
     def soon(self, call):
         self.loop.call_soon(call)
 
-    def connect(self, address: tuple, peer, wait: float | None = None):
-        """A connection on its way up, or None where no slot is free."""
+    def placed(self, peer, wait: float | None = None):
+        """A connection with a slot and a time until it must be up, or None where no slot is free."""
         made = Connection(self, peer, None)
         made.number = self.slots.take(made)
         if made.number is None:
             self.count("slots_full")
             return None
         made.deadline = self.after(wait or self.limits.connect, lambda: made.close("timeout"))
-        made.dialling = self.loop.create_task(self.dial(made, address))
-        self.tasks.add(made.dialling)
-        made.dialling.add_done_callback(self.tasks.discard)
+        return made
+
+    def connect(self, address: tuple, peer, wait: float | None = None):
+        """A connection on its way up, or None where no slot is free."""
+        made = self.placed(peer, wait)
+        if made is not None:
+            made.dialling = self.loop.create_task(self.dial(made, address))
+            self.tasks.add(made.dialling)
+            made.dialling.add_done_callback(self.tasks.discard)
         return made
 
     async def dial(self, made, address):
--- a/havendyke/net/messages.py
+++ b/havendyke/net/messages.py
@@ -69,7 +69,8 @@
         self.kinds = {name: k for k, name in enumerate(words["kinds"])}
         self.names, self.proxies = words["classes"], words["proxies"] or 65536
         self.endpoints, self.started = {}, {}  # of servers, by their objects
-        self.told, self.keep = [], None  # the list that was read last; of a recovery: hears a list before the decisions do, and says what they are to hear
+        # The list that was read last; of a recovery: hears a list before the decisions do, and says what they hear.
+        self.told, self.keep = [], None
 
     # From collectors
 
--- a/havendyke/recovery/keeper.py
+++ b/havendyke/recovery/keeper.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, replace
 
 from .. import interface as core
-from .clocks import Stamp
 from .kept import Kept, Row, Table, apply, difference
 from .trust import Beliefs, Standing
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,7 +2,6 @@
 import asyncio
 import time
 
-import orjson
 import pytest
 from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE, answer, feed, front, line, listed, quiet, sent, standing, told
 from helpers import whole_list
