--- a/havendyke/xds/stream.py
+++ b/havendyke/xds/stream.py
@@ -190,7 +190,7 @@
         for kind in reversed(ORDER):
             if response := self.removals(kind):
                 made.append(response)
-        if not made and all(k.sent is None for k in self.kinds.values()) and self.snapshot.mark > self.answered \
+        if not made and all(k.sent is None for k in self.kinds.values()) and self.snapshot.mark != self.answered \
                 and any(k.asked for k in self.kinds.values()):
             self.answered = self.snapshot.mark
             self.told.append(Answered(self.answered))
--- /dev/null
+++ b/tests/xds/test_forwarders.py
@@ -0,0 +1,120 @@
+"""One controller and forwarders on streams: joins, drains, refusals, stalls and returns through the same decisions."""
+import orjson
+import pytest
+from test_streams import Forwarder
+
+from havendyke import interface as core
+from havendyke.door import Door
+from havendyke.xds.forwarders import Forwarders, Options
+from havendyke.xds.resources import CLUSTER, ENDPOINTS, HOSTS, ORDER
+from havendyke.xds.stream import Ask
+
+
+class Scene:
+    """Forwarders that answer at once unless they are in `deaf`; 50 ms a step."""
+
+    def __init__(self, count=3, servers=5, pieces=10):
+        self.door = Door(core.Settings(
+            classes=[core.OperationClass(1000.0, 3000.0, "safe")], zones=2, slices=pieces, queue_limit=4000.0,
+            channel_rate=4000.0, overhead=4.0, push_delay=50.0, cold=10_000.0, cold_from=0.2, overload=3.0, sized=True), 1)
+        self.front = Forwarders(self.door, lambda uid: f"127.0.0.9:{uid}", Options(stall=3000.0))
+        self.now, self.timers, self.deaf, self.closed, self.peers = 10_000.0, [], set(), [], {}
+        names = [f"s{k}" for k in range(servers)]
+        self.list("ready", *names)
+        self.front.begin({k: {names[k % servers]: 1.0} for k in range(pieces)})
+        for k in range(count):
+            self.join(f"f{k}", Forwarder())
+
+    def list(self, state, *names, started=None):
+        self.door.inbox.append(core.Members("changes", [
+            core.Entry(self.door.server(n), state, started, int(n[1:]) % 2, 0, 0, 1.0) for n in names]))
+
+    def join(self, key, forwarder):
+        self.front.opened(key, f"node-{key}", 0, 5.0)
+        self.peers[key] = forwarder
+        for kind in ORDER:
+            self.deliver(self.front.asked(self.now, key, Ask(kind, subscribe=("*",), holds=dict(forwarder.versions[kind]))))
+
+    def deliver(self, told):
+        responses, close = told[-2:]
+        for key, why in close:
+            self.closed.append((key, why))
+            self.front.closed(key)
+        for key, response in responses:
+            if key not in self.deaf and key in self.front.joined:
+                self.deliver(self.front.asked(self.now, key, self.peers[key].apply(response)))
+
+    def go(self, ms):
+        end = self.now + ms
+        while self.now < end:
+            self.now += 50.0
+            rung = [t for t in self.timers if t[0] <= self.now]
+            self.timers = [t for t in self.timers if t[0] > self.now]
+            self.door.inbox += [core.Reminder(tag) for _, tag in rung]
+            if self.door.inbox:
+                made = self.front.turn(self.now)
+                self.timers += [(self.now + o.after, o.tag) for o in made[0] if type(o) is core.Timer]
+                self.deliver(made)
+
+    def picks(self, key) -> set:
+        """The servers that a forwarder would send to, over all slices."""
+        held = self.peers[key].held
+        healthy = {n for n, r in held[ENDPOINTS].items() if b"healthy" in r.body}
+        return {n for r in held[HOSTS].values() for n in orjson.loads(r.body) if n in healthy}
+
+
+def test_joined_forwarders_hold_a_line_for_every_slice_and_answer_marks():
+    s = Scene()
+    s.go(8000)
+    c = s.door.controller
+    assert all(len(p.held[HOSTS]) == 10 for p in s.peers.values()) and not s.closed
+    assert {p.answered for p in c.proxies} == {c.serial} and c.serial > 0
+    for number, piece in s.door.slices.items():
+        assert {server.id for server in piece.present} == s.front.tables.lines[number].keys()
+
+
+def test_a_drained_server_gets_nothing_within_the_grace_at_any_forwarder():
+    s = Scene()
+    s.go(8000)
+    s.list("draining", "s1")
+    s.go(1500)
+    assert all("s1" not in s.picks(key) for key in s.peers)
+    for p in s.peers.values():
+        assert all(set(orjson.loads(r.body)) - {"s1"} for r in p.held[HOSTS].values())
+
+
+def test_a_forwarder_that_refuses_a_drain_is_cut_off_and_holds_nobody_back():
+    s = Scene()
+    s.go(8000)
+    s.peers["f1"].refuses = lambda one: b"draining" in one.body
+    s.list("draining", "s1")
+    s.go(1500)
+    assert ("f1", "refused a drain") in s.closed and not s.door.proxies[1].joined
+    assert "s1" not in s.picks("f0") and "s1" not in s.picks("f2")
+
+
+def test_a_stalled_reader_is_cut_off_in_time_and_comes_back_for_the_difference():
+    s = Scene()
+    s.go(8000)
+    s.deaf.add("f2")
+    s.list("draining", "s1")
+    s.go(4500)
+    assert ("f2", "stalled") in s.closed
+    s.deaf.clear()
+    before = len(s.peers["f2"].ledger)
+    s.join("f2", s.peers["f2"])
+    s.go(3000)
+    assert "s1" not in s.picks("f2") and 0 < len(s.peers["f2"].ledger) - before < 25
+    assert s.door.proxies[2].joined and s.peers["f2"].held[CLUSTER].keys() == s.peers["f0"].held[CLUSTER].keys()
+
+
+@pytest.mark.parametrize("key", ["f0", "other"])
+def test_the_same_node_on_a_new_stream_is_the_same_proxy(key):
+    s = Scene(count=1)
+    s.go(2000)
+    s.front.opened(key, "node-f0", 0, 5.0)
+    s.peers[key] = Forwarder()
+    for kind in ORDER:
+        s.deliver(s.front.asked(s.now, key, Ask(kind, subscribe=("*",))))
+    s.go(3000)
+    assert len(s.door.proxies) == 1 and s.door.proxies[0].joined and list(s.front.joined) == [key]
