--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -33,6 +33,8 @@
     "probe": (("server", "outcome", "why", "ms"), "a server's answers to probes changed"),
     "decision_failed": (("cause", "at_line", "events"), "a defect in the decisions; the events are told again one by one"),
     "failure": (("peer", "cause"), "a defect in the front; one connection ends"),
+    "stream_closed": (("stream", "why"), "an xDS stream was closed: its reader stalled, or it refused a drain"),
+    "stream_refused": (("stream", "field"), "an xDS client said what cannot be read; its stream ends with the reason"),
     "state": (("said",), "what a start found in its folder, or what was wrong with it"),
     "state_recovered": (("servers", "untrusted", "drains"), "the start goes by the folder"),
     "state_not_kept": (("cause", "again_in"), "a commit failed, or the folder cannot be had; it goes on without"),
