--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -110,10 +110,11 @@
 
 @tools.command()
 @click.argument("names", nargs=-1)
-def merge(names):
+@click.option("--most", type=click.IntRange(1, 100_000), default=2000, help="Inputs that are looked at, the shortest first.")
+def merge(names, most):
     """Take what runs have found into the corpus, and keep the least of it that reaches the same."""
     for target in chosen(names):
-        before, after, size, reached = engine.merge(target)
+        before, after, size, reached = engine.merge(target, most)
         click.echo(f"{target.name:14} {before} inputs, {after} kept with {size} bytes, {reached} steps reached")
 
 
