--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -146,15 +146,14 @@
             self.relay.tell("GRANT", partition=99, yes=True)
 
     def late_rows(self, a, b, c):
-        """A grant whose lines come late, one by one, as they stood when it was told: bytes held up on their way."""
+        """A grant whose lines come late, one by one, and all behind them as well: bytes held up on their way."""
         piece, live = a % 8, self.relay.live()
         if not live or piece not in self.relay.given:
             return
-        rows = dict(self.relay.store[piece])
         self.relay.tell("GRANT", live[0], partition=piece, yes=True)
-        for k, (host, share) in enumerate(rows.items()):
-            self.world.after((1 + b) * 3.0 * (k + 1), lambda h=host, s=share: self.relay.tell(
-                "ROW", live[0], partition=piece, host=h, share=s))
+        live[0].drip((1 + b) * 3.0)
+        for host, share in self.relay.store[piece].items():
+            self.relay.tell("ROW", live[0], partition=piece, host=host, share=share)
         self.world.pass_time(c)
 
     def servers(self, a, b, c):
--- a/havendyke/lab/peers.py
+++ b/havendyke/lab/peers.py
@@ -22,6 +22,7 @@
 
     def __init__(self, world, connection):
         self.world, self.connection, self.read, self.silent, self.gone = world, connection, 0, False, False
+        self.held = None  # what is held up on its way, in order
 
     def up(self):
         if not self.connection.over:
@@ -39,9 +40,25 @@
             self.take(told)
 
     def say(self, data: bytes):
-        if not self.silent and not self.connection.over:
+        if self.held is not None:
+            self.held.append(data)
+        elif not self.silent and not self.connection.over:
             feed(self.connection, data)
 
+    def drip(self, wait: float):
+        """From now on its bytes come one message each `wait` ms, until none is left behind: a connection keeps order."""
+        if self.held is None:
+            self.held = []
+            self.world.after(wait, lambda: self.drop(wait))
+
+    def drop(self, wait):
+        held, self.held = self.held, None
+        if held:
+            self.say(held[0])
+        if len(held) > 1:
+            self.held = held[1:]
+            self.world.after(wait, lambda: self.drop(wait))
+
     def close(self, how: str = "reset"):
         self.connection.close(how)
 
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -32,6 +32,7 @@
         self.sound, self.settled, self.first = False, False, False
         self.proxies, self.slices, self.last = {}, {}, {}
         self.rows, self.granted = {}, {}          # tables whose lines are still coming; when they were granted
+        self.rowed = {}                           # when a line of one came late
         self.asked_at, self.address = self.hub.now(), news.address
         self.connection = self.hub.connect(self.address, self)
         if self.connection is not None:
@@ -139,12 +140,13 @@
             known = self.news.store.get(piece, {})
             if host in known or not self.slices.get(piece, 0) & 1:
                 return
-            if self.hub.now() - self.granted.get(piece, -1e9) > self.hub.limits.late_row:
+            if self.hub.now() - max(self.granted.get(piece, -1e9), self.rowed.get(piece, -1e9)) > self.hub.limits.late_row:
                 # Whether it still stands nobody knows by now: left out, its server kept a part of the traffic.
                 self.news.confirm(piece)
                 return
             self.rows[piece] = dict(known)
-            self.granted[piece] = self.hub.now()
+            # The grant's own time stays: what a call did since then is not in these lines.
+            self.rowed[piece] = self.hub.now()
             self.slices[piece] += 2
         self.rows[piece][host] = weight
         self.settle_soon()
@@ -320,7 +322,8 @@
                     self.hub.log("rows_differ", slice=piece, store=lines, known=self.store.get(piece))
                 stream.slices[piece] = max(mine, told)
                 self.give(piece, max(mine, told), lines)
-                if mine > told and self.touched(piece, stream.granted[piece]):
+                if mine > told and not stream.first:
+                    # How long ago it was said nobody knows, only when it came: a call may have been carried out since.
                     self.confirm(piece)
             elif stream.first and not alike(lines, self.store.get(piece, {})):
                 self.confirm(piece)
--- a/havendyke/net/relay.py
+++ b/havendyke/net/relay.py
@@ -1,4 +1,6 @@
 """Calls to the relay: one at a time, in order; newer orders take the place of older ones that wait."""
+from collections import deque
+
 import orjson
 
 from .. import interface as core
@@ -28,6 +30,7 @@
         self.sent_at, self.again = -1e9, Backoff(hub.limits.call_again, hub.limits.again_most)
         self.doubt, self.paused, self.few, self.returned = None, None, None, None
         self.away, self.gone = None, False  # why nothing leaves; whether the relay itself is out of reach
+        self.newest, self.lately = None, deque(maxlen=UNSENT)  # the last mark ordered; those that somebody answered
         self.proof, self.unproven = None, Backoff(hub.limits.mark_answer, 4 * hub.limits.mark_answer)
 
     def touched(self, piece, since) -> bool:
@@ -82,6 +85,7 @@
         for key, order in orders:
             self.put(key, order)
             if key[0] == "mark":
+                self.newest = order["nonce_out"]
                 self.unsent = self.unsent[-UNSENT:] + [order["nonce_out"]]
         if self.proof is not None:
             self.settle(False)  # what waits for a proof goes along: a message more costs more than its few orders
@@ -328,6 +332,8 @@
 
     def heard(self, mark):
         """A proxy has answered a mark: the call that brought it was carried out."""
+        if mark not in self.lately:
+            self.lately.append(mark)
         if self.doubt and self.doubt.get(("mark",), {}).get("nonce_out") == mark:
             self.hub.log("call_proven", mark=mark)
             self.settle(True)
@@ -338,9 +344,19 @@
             return  # proven meanwhile, or overtaken by a newer one
         seen = [alike(lines, rows[t]) for t, lines in self.changed().items() if t in rows]
         self.hub.log("call_judged", carried=sum(seen), tables=len(seen))
-        self.settle(bool(seen) and all(seen))
+        carried, mark = bool(seen) and all(seen), doubt.get(("mark",))
+        self.settle(carried)
+        if carried and mark:
+            # Lines that stood before would look the same: only its mark's answer proves the call.
+            self.hub.after(2 * self.limits.mark_answer, lambda: self.unheard(mark))
         self.next()
 
+    def unheard(self, mark):
+        if self.newest == mark["nonce_out"] and mark["nonce_out"] not in self.lately:
+            self.hub.count("marks_again")
+            self.put(("mark",), {**mark, "yes": 1})
+            self.next()
+
     def settle(self, carried):
         orders, self.doubt = self.doubt, None
         self.hub.drop(self.proof)
