Answers to the last mark are counted in the state; a turn compares only what moved

Cause: a second read of the change: "answered" of the kept marks was written as 0 and never raised, and any answer made a turn compare all figures that are kept. A parameter of the keeper was used by nothing.

Change: the keeper counts answers to the last mark, and marks which small parts moved; the parameter is gone.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -92,7 +92,7 @@
         door.inbox += [core.Custody(door.slice(k), True), core.Stored(door.slice(k), servers[k % size], 1.0)]
     door.inbox.append(core.Joined(door.proxy(0), 0, 5.0, True))
     door.turn(now)
-    keeper = Keeper(state(size), lambda: Stamp(1.7e12 + now, "boot", now), lambda unix: unix, COLD)
+    keeper = Keeper(state(size), lambda: Stamp(1.7e12 + now, "boot", now), COLD)
     keeper.changes()
     alone, keeping = [], []
     for _ in range(repeats):
--- a/havendyke/recovery/durable.py
+++ b/havendyke/recovery/durable.py
@@ -61,7 +61,7 @@
     def begin(self, door, messages, cold: float) -> core.Members | None:
         """Attaches to a door and its messages; the list to start with, None where nothing was kept."""
         self.door, self.messages = door, messages
-        self.keeper = Keeper(self.found.kept, self.clock, messages.started_by, cold)
+        self.keeper = Keeper(self.found.kept, self.clock, cold)
         messages.keep = self.listed
         door.shut.update(dict.fromkeys(self.found.kept.shut))
         if self.writes:
--- a/havendyke/recovery/keeper.py
+++ b/havendyke/recovery/keeper.py
@@ -24,14 +24,14 @@
 
 
 class Keeper:
-    """`wall_to_core(unix_ms)` gives the decisions' time of a start, None for long ago; `now()` a `Stamp`."""
+    """`now()` gives a `Stamp`; `cold` is the settings' time of a cold server, ms."""
 
-    def __init__(self, kept: Kept, now, wall_to_core, cold: float):
+    def __init__(self, kept: Kept, now, cold: float):
         self.present, self.wanted = deepcopy(kept), kept
-        self.now, self.wall_to_core = now, wall_to_core
+        self.now = now
         self.beliefs = Beliefs(kept, now(), cold)
         self.uids, self.numbers = set(kept.servers), set()
-        self.rest, self.learned_at = True, -1e15
+        self.rest, self.learned_at = {"shut", "marks", "learned"}, -1e15  # small parts that moved
         self.counts = {"trust_raised": 0, "tombs_kept": 0, "changes": 0}
 
     # What the decisions hear
@@ -61,7 +61,6 @@
             self.uids.add(t.uid)
         if told:
             self.wanted.lists = max(t.row.lists for t in told)
-        self.rest = True
         return event
 
     def heard(self, uid: str, source: str) -> Standing | None:
@@ -91,8 +90,9 @@
                     raised.append(self.heard(event.server.id, "relay"))
             elif kind is core.Custody:
                 self.numbers.add(event.slice)
-            elif kind is core.Answered:
-                self.rest = True
+            elif kind is core.Answered and event.mark == self.wanted.marks.get("last"):
+                self.wanted.marks = {"last": event.mark, "answered": self.wanted.marks["answered"] + 1}
+                self.rest.add("marks")
         for order in orders:
             kind = type(order)
             if kind is core.Line or kind is core.Clear:
@@ -100,10 +100,10 @@
             elif kind is core.Withdraw:
                 (self.wanted.shut.__setitem__ if order.out else lambda u, _: self.wanted.shut.pop(u, None))(
                     order.server.id, True)
-                self.rest = True
+                self.rest.add("shut")
             elif kind is core.Mark:
                 self.wanted.marks = {"last": order.number, "answered": 0}
-                self.rest = True
+                self.rest.add("marks")
         return [r for r in raised if r is not None]
 
     def learn(self, controller):
@@ -121,7 +121,7 @@
         gone = [what for what in self.wanted.learned if what.startswith("server/") and what[7:] not in self.wanted.servers]
         for what in gone:
             del self.wanted.learned[what]
-        self.rest = True
+        self.rest.add("learned")
 
     # What is committed
 
@@ -129,13 +129,13 @@
         """What must change in the state on disk since the last call; it counts as changed from here on."""
         for piece in self.numbers:
             self.wanted.slices[piece.id] = Table({s.id: w for s, w in piece.present.items()}, piece.held)
-        if not (self.uids or self.numbers or self.rest):
+        if not (self.uids or self.numbers or self.rest or self.wanted.lists != self.present.lists):
             return []
         numbers = {piece.id for piece in self.numbers}
         made = difference(self.part(self.present, self.uids, numbers), self.part(self.wanted, self.uids, numbers))
         for kind, fields in made:
             apply(self.present, kind, fields)
-        self.uids, self.numbers, self.rest = set(), set(), False
+        self.uids, self.numbers, self.rest = set(), set(), set()
         self.counts["changes"] += len(made)
         return made
 
@@ -145,8 +145,9 @@
         made.servers = {u: kept.servers[u] for u in sorted(uids) if u in kept.servers}
         made.tombs = {u: kept.tombs[u] for u in sorted(uids) if u in kept.tombs}
         made.slices = {n: kept.slices[n] for n in sorted(numbers) if n in kept.slices}
-        if not self.rest:
-            made.shut, made.marks, made.learned = {}, {}, {}
+        for name in ("shut", "marks", "learned"):
+            if name not in self.rest:
+                setattr(made, name, {})
         return made
 
     def whole(self) -> Kept:
--- a/tests/recovery/test_trust.py
+++ b/tests/recovery/test_trust.py
@@ -103,7 +103,7 @@
 
 def keeper(kept=None):
     door = Door(core.Settings(classes=[core.OperationClass(1000.0, 3000.0)], slices=4), 1)
-    return Keeper(kept or Kept(), lambda: NOW, lambda unix: unix, COLD), door
+    return Keeper(kept or Kept(), lambda: NOW, COLD), door
 
 
 def told(door, uid, state="ready", lists=1, boot=0.0):
@@ -151,3 +151,11 @@
     one = [told(door, "s7", "draining", 2)]
     k.listed(core.Members("changes", [t.entry for t in one]), one)
     assert [kind for kind, _ in k.changes()] == ["lists", "tomb", "entry"] and seen == [1, 1]
+
+
+def test_answers_to_the_last_mark_are_counted_and_others_are_not():
+    k, door = keeper()
+    k.turned([], [core.Mark(7, True)])
+    k.changes()
+    k.turned([core.Answered(door.proxy(n), mark, 1.0) for n, mark in enumerate((7, 6, 7))], [])
+    assert k.changes() == [("marks", {"last": 7, "answered": 2})] and k.changes() == []
