Levels are cut only where the middle server is slow; refused connections are no jam

The settings say why they fail: familyInfo.smallestConnTable 119, connIdle 15 s, 1,488 proxies; 200 servers at 1,550 to 2,150 operations a second hold 105 to 150 connections each.

So `shed` is at fault: it took failing tries of the middle server for a jam, whatever it answered in. A connection that is refused costs the server no work.

Change: `jammed`, the middle server answers slower than `sore`; levels are cut only while it holds and rise otherwise.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -5,7 +5,7 @@
 import orjson
 
 from . import interface as core
-from .fields import FieldError, clip, figure, listed, ms, take, word
+from .fields import FieldError, clip, count, figure, listed, ms, take, word
 
 REPEATS = {"pure": "safe", "token": "keyed", "side_effect": "once"}
 GROUPS = {name: name for name in ("all", "zone", "cell")}
@@ -15,7 +15,7 @@
 PREFIX = "ROUTER_"
 DAY = 86_400_000.0  # ms; no time in the settings is longer
 MANY = 1e12         # lines; more is no limit
-TABLES, PROXIES, CLASSES = 65_534, 65_536, 32
+TABLES, PROXIES, CLASSES, INSTANCES = 65_534, 65_536, 32, 65_536
 
 
 class ConfigError(ValueError):
@@ -29,7 +29,7 @@
     sockets: int = 1024            # file descriptors, with the reserve below for files and the listener
     socket_reserve: int = 64       # or a third, where they are few
     sockets_least: int = 48
-    slots: int = 512               # connections of all kinds at a time
+    slots: int = 4096              # connections of all kinds at a time
     message: int = 1 << 20         # bytes of one message, whole
     buffer: int = 1 << 14          # bytes of a connection's buffer at first
     buffers: float = 48e6          # bytes that all buffers may take beyond their first size
@@ -62,9 +62,9 @@
     overlap: float = 500.0         # so long streams at an old address go on beside the first that stands at the new
     probe: float = 500.0           # until a probe's answer counts as overdue
     probe_connect: float = 250.0   # the settings' own figure, where they state one
-    probes_open: int = 64
-    callers: int = 256             # connections of others' making at a time
-    backlog: int = 512             # connections that wait to be taken in
+    probes_open: int = 1024        # or a quarter of the slots; what has no room waits its turn
+    callers: int = 1024            # connections of others' making at a time
+    backlog: int = 1024            # connections that wait to be taken in
     accepts: int = 16              # taken in at one look: more would hold descriptors before any is let go
     standstill: float = 100.0      # deadlines this late wait once more, so that what came in goes first
     catch_up: float = 30.0
@@ -72,7 +72,7 @@
     log_alike: int = 40            # of them of one event
     listen_again: float = 100.0
     sweep: float = 5000.0          # between looks for servers that have left for good
-    forgotten: int = 1000          # ids of them that are remembered as shut out
+    forgotten: int = 8192          # ids of them that are remembered as shut out
     turn_again: float = 250.0      # after a failed decision
 
 
@@ -106,25 +106,28 @@
         for k, c in enumerate(told)]
     return core.Settings(
         classes=classes, zones=len(listed(raw, "localities", str, [""])),
-        slices=figure(family, "keyRanges", 0, 0, TABLES, int), one_owner=take(family, "oneOwner", bool, False),
+        slices=count(family, "keyRanges", 0, 0, TABLES), one_owner=take(family, "oneOwner", bool, False),
         lease=ms(family, "lease", 0.0, 0.0, DAY), lingers=ms(family, "lingers", 0.0, 0.0, DAY),
         queue_limit=figure(family, "pendingMax", 1e9, 1.0, MANY),
         channel_rate=figure(family, "channelRate", 1e9, 1e-3, MANY),
         overhead=figure(family, "overhead", 0.0, 0.0, 1e6),
-        push_delay=ms(family, "pushDelay", 0.0, 0.0, DAY), message_cap=figure(family, "updateCap", 0, 0, 10 ** 9, int),
+        push_delay=ms(family, "pushDelay", 0.0, 0.0, DAY), message_cap=count(family, "updateCap", 0, 0, 10 ** 9),
         message_span=ms(family, "countedOver", 0.0, 0.0, DAY), report_period=ms(family, "interval", 1000.0, 1.0, DAY),
         cold=ms(duty, "cold", 0.0, 0.0, DAY), cold_from=figure(duty, "coldFrom", 1.0, 0.0, 1.0),
         overload=figure(duty, "overloadFactor", 1e9, 1e-3, 1e9),
         ask=word(raw, "registryMode", ASKED, "push"), ask_within=ms(duty, "askWithin", 0.0, 0.0, DAY),
         probes=take(limits, "probes", bool, False), levels=word(family, "throttleBy", LEVELS, "none"),
-        sized=word(raw, "weightKind", SIZED, "none"))
+        sized=word(raw, "weightKind", SIZED, "none"),
+        instances=count(raw, "balancers", 1, 1, INSTANCES),
+        connections=figure(family, "smallestConnTable", 0.0, 0.0, MANY),
+        connection_rest=ms(limits, "connIdle", 0.0, 0.0, DAY))
 
 
 def read_words(raw: dict) -> dict:
     words = {"zones": listed(raw, "localities", str, []), "kinds": listed(raw, "kinds", str, []),
              "classes": [take(c, "name", str, "") for c in take(raw, "requestClasses", list)],
              "reports": take(take(raw, "telemetry", dict, {}), "source", str, "none") != "none",
-             "proxies": figure(take(raw, "familyInfo", dict, {}), "dataPlaneSize", 0, 0, PROXIES, int)}
+             "proxies": count(take(raw, "familyInfo", dict, {}), "dataPlaneSize", 0, 0, PROXIES)}
     for key, field_name in (("zones", "localities"), ("classes", "requestClasses"), ("kinds", "kinds")):
         # A message that names one of two alike would be counted for either.
         twice = [name for k, name in enumerate(words[key]) if name in words[key][:k]]
@@ -141,7 +144,7 @@
 
 
 def read_limits(raw: dict, settings: dict) -> Limits:
-    sockets = figure(raw, "sockets", Limits.sockets, Limits.sockets_least, 10 ** 7, int)
+    sockets = count(raw, "sockets", Limits.sockets, Limits.sockets_least, 10 ** 7)
     memory = float(figure(raw, "memory_mb", Limits.memory_mb, 8.0, 1e7))
     slots = min(Limits.slots, sockets - min(Limits.socket_reserve, sockets // 3))
     return Limits(memory_mb=memory, sockets=sockets, slots=slots,
--- a/havendyke/fields.py
+++ b/havendyke/fields.py
@@ -47,6 +47,14 @@
     raise FieldError(f"field '{name}' must be from {least:g} to {most:g}, not {str(value)[:40]}")
 
 
+def count(message: object, name: str, default=..., least: float = 0, most: float = HUGE) -> int:
+    """A whole number, written with a point or without: some writers make 119.0 of every 119."""
+    value = figure(message, name, default, least, most)
+    if value != int(value):
+        raise FieldError(f"field '{name}' must be a whole number, not {str(value)[:40]}")
+    return int(value)
+
+
 def ms(message: object, name: str, default=..., least: float = -HUGE, most: float = HUGE) -> float:
     """Nanoseconds on the wire and in the settings, milliseconds inside; the bounds and the default are ms."""
     value = figure(message, name, None if default is not ... else ..., least * 1e6, most * 1e6)
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -1,4 +1,5 @@
 """Questions to servers whether they are well; no connection outlives its question."""
+from collections import deque
 from ipaddress import ip_address
 
 from .. import interface as core
@@ -54,6 +55,7 @@
     def __init__(self, hub, messages, tell, path):
         self.hub, self.messages, self.tell, self.path = hub, messages, tell, path
         self.open, self.last = 0, {}
+        self.waiting = deque()  # servers for whose question there was no room
 
     def ask(self, server):
         try:
@@ -61,23 +63,39 @@
             ip_address(end[0])  # a name would be looked up somewhere, and there is nobody to ask
         except ValueError:
             end = None
-        if end is None or self.open >= self.hub.limits.probes_open:
+        if end is None:
             self.hub.count("probes_left_out")
-            return
+        elif self.open >= self.hub.limits.probes_open:
+            # Left out it would never be answered, and the decisions would wait for it.
+            if server not in self.waiting:
+                self.hub.count("probes_waited")
+                self.waiting.append(server)
+        else:
+            self.begin(server, end)
+
+    def begin(self, server, end):
         self.open += 1
         probe = Probe(self, server, end)
         if probe.connection is None:
+            # No slot: those of relay, discovery and collectors go before it, and it comes again once one is free.
             self.hub.drop(probe.overdue)
             self.open -= 1
             self.hub.count("probes_left_out")
 
+    def next(self):
+        if self.waiting and self.open < self.hub.limits.probes_open:
+            self.ask(self.waiting.popleft())
+
     def forget(self, servers: list):
         for server in servers:
             self.last.pop(server, None)
+            if server in self.waiting:
+                self.waiting.remove(server)
 
     def done(self, probe, outcome, load, why):
         self.open -= 1
         self.hub.count(f"probes_{outcome}")
+        self.next()
         if probe.server not in self.messages.started:
             return  # it has left for good meanwhile
         if outcome != self.last.get(probe.server, "answered"):
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -11,6 +11,7 @@
 
 SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
+PROBED = 5.0          # questions a second at one server, of all instances together
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
@@ -37,7 +38,7 @@
         self.chance = Chance(seed)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
-        self.sliced, self.one_owner = s.slices > 0, s.one_owner
+        self.sliced, self.one_owner, self.instances = s.slices, s.one_owner, s.instances
         self.lease, self.lingers, self.delay = s.lease, s.lingers, s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
         self.gap = max(PUSH_GAP, 1.1 * s.message_span / s.message_cap if s.message_cap else 0.0)
@@ -57,7 +58,7 @@
         self.servers, self.slices, self.proxies, self.pushes, self.serial = [], [], [], [], 0
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
-        self.fleet, self.settled_push, self.strained, self.busy = 0.0, 0, False, False
+        self.fleet, self.settled_push, self.strained, self.busy, self.jammed = 0.0, 0, False, False, False
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -202,6 +203,8 @@
         # Where the middle server fails too, all are full or we are cut off: emptying one drowns the next.
         middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
         self.strained = middle > (CALM if self.strained else STRAIN)
+        slow = [s.latency.middle() or 0.0 for s in ready if s.outcomes.bins[0]]
+        self.jammed = middle_of(slow, self.sore) >= self.sore
         good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
         self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
         for server in ready:
@@ -244,15 +247,16 @@
                             else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
 
     def shed(self):
-        # A full fleet works on what clients gave up; only letting less in ends it. Few bad ones are no jam.
+        # A full fleet works on what clients gave up; only letting less in ends it. Few bad ones are no jam, nor are
+        # quick failures of all: proxies that find no free connection cost no work, and turned away none comes free.
         if not self.sheds or self.now < self.levelled_at + LEVEL_EVERY:
             return
         self.levelled_at, (good, bad), came = self.now, self.tried.bins, self.came
         self.tried, self.came = Tally(2), 0.0
-        if self.strained and bad > 2 * BUSY * (good + bad):
+        if self.strained and self.jammed and bad > 2 * BUSY * (good + bad):
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
-        elif not self.strained:
+        elif not (self.strained and self.jammed):
             self.level = min(1.0, LEVEL_UP * self.level)
 
     def plan(self):
@@ -540,11 +544,18 @@
     def ask_around(self):
         orders = [core.Follow()] if self.now >= self.ask_at else []
         self.ask_at = 1e18 if orders else self.ask_at
-        for server in self.servers if self.probes else ():
+        ready = [s for s in self.servers if s.state == "ready"] if self.probes else []
+        # A server is asked PROBED times a second whoever asks: by those whose lines name it, owner and spare of
+        # each slice, and as often again by the others together. 230 that asked twice a second each filled it.
+        users = min(self.instances, max(1.0, 2.0 * self.sliced / max(1, len(ready)))) if self.sliced else self.instances
+        named = {s for p in self.slices if p.held for s in p.wanted}
+        for server in ready:
+            every = max(PROBE_EVERY, 1000.0 * (users if server in named else self.instances) / PROBED)
+            if server.probed_at is None:
+                server.probed_at = self.now - every * self.chance.draw()  # or all would be asked at one moment
             # One that failed is asked again at once; an answer that never came is not waited for forever.
-            soon = TICK if server.streak + server.mute else PROBE_EVERY
-            if server.state == "ready" and self.now - server.probed_at > (
-                    4 * PROBE_EVERY if server.probing else soon) - 1:
+            soon = max(TICK, every / 2) if server.streak + server.mute else every
+            if self.now - server.probed_at > (max(every, 4 * PROBE_EVERY) if server.probing else soon) - 1:
                 server.probed_at, server.probing = self.now, True
                 orders.append(core.Probe(server))
         return orders
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -68,7 +68,7 @@
         self.out, self.shut_once, self.doubt, self.owned = False, False, False, []
         self.ill_till, self.rest = None, 0.0
         self.load = self.capacity = self.sure = 0.0
-        self.probed_at = self.got_at = self.gave_at = self.good_at = -1e9
+        self.probed_at, self.got_at, self.gave_at, self.good_at = None, -1e9, -1e9, -1e9
 
     def halve(self):
         for tally in (self.latency, self.outcomes, self.held):
