The filler seeks its receivers once a look; the phase of probes draws from its own chance

Profile of an assigner in the play of calm+mass, seed 1 (29 s, 868 turns, under cProfile): 9.4 s of 13.2 s of turns are in `fill`, 6.6 s of them in the list of cool servers, made anew for each of 4,131 givers; with the budget spent there was nothing to move at all. Now it is made once a look, and givers without a budget are passed over.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -36,7 +36,7 @@
 class Controller:
     def __init__(self, settings, seed):
         s = settings
-        self.chance = Chance(seed)
+        self.chance, self.phase = Chance(seed), Chance(seed + 1)
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner, self.instances = s.slices, s.one_owner, s.instances
@@ -406,21 +406,26 @@
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > (
             PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
+        cool = [s for s in self.servers if s.grade == WARM and not s.out and s.heat < 1.1
+                and (s.held.middle() or 0.0) <= self.usual_held
+                and self.now - max(s.gave_at, s.got_at) > FILL]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
-            cooler = [s for s in self.servers if s.grade == WARM and not s.out
-                      and s.heat < min(giver.heat, 1.1) and (s.held.middle() or 0.0) <= self.usual_held
-                      and self.now - max(s.gave_at, s.got_at) > FILL]
+            slow = (giver.latency.middle() or 0.0) >= self.sore
+            if self.moves <= 0 or self.choices <= 0 and not slow:
+                continue
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
-                fit = [s for s in cooler if self.fits(s, piece.demand, FULL)
+                if self.now - piece.moved_at <= FILL_REST or not self.settled(piece):
+                    continue
+                fit = [s for s in cool if s is not giver and s.heat < giver.heat
+                       and self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
-                slow = (giver.latency.middle() or 0.0) >= self.sore
-                rested = self.now - piece.moved_at > FILL_REST and self.settled(piece)
-                if fit and rested and self.moves > 0 and (self.choices > 0 or slow):
-                    self.choices -= 1
+                if fit:
                     fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
                     # Chance among the best, two for each controller: the others see the same coolest servers.
-                    self.move(piece, fit[int(min(2 * self.instances, len(fit)) * self.chance.draw())])
-                    giver.gave_at = self.now
+                    to = fit[int(min(2 * self.instances, len(fit)) * self.chance.draw())]
+                    self.move(piece, to)
+                    cool = [s for s in cool if s is not to and s is not giver]
+                    giver.gave_at, self.choices = self.now, self.choices - 1
                     break
 
     def part(self, server, more=0.0):
@@ -592,7 +597,7 @@
         for server in ready:
             every = max(PROBE_EVERY, 1000.0 * (users if server in named else self.instances) / PROBED)
             if server.probed_at is None:
-                server.probed_at = self.now - every * self.chance.draw()  # or all are asked at one moment
+                server.probed_at = self.now - every * self.phase.draw()  # or all are asked at one moment
             # One that failed is asked again at once; an answer that never came is not waited for forever.
             soon = max(TICK, every / 2) if server.streak + server.mute else every
             if self.now - server.probed_at > (max(every, 4 * PROBE_EVERY) if server.probing else soon) - 1:
