--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,7 @@
     made = []
     for number in range(count):
         c = controller(slices=len(owners), instances=count, **settings)
-        c.chance.now = 1 + 7919 * number
+        c.chance.now = c.phase.now = 1 + 7919 * number
         known = fleet(c, servers)
         for ident in range(number, len(owners), count):
             piece = c.slice(ident)
