A server gives slices only where it is slow by quoted times; questions that wait say so once

Nobody was slow: low-speed machines answer 1.6 times slower than the others unloaded, which is the gap itself.

Change: the budget goes; whoever gives must answer slower than `sore`, as slow givers already might beyond the budget.

--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -31,6 +31,7 @@
     "stranger_refused": (("zone", "field"), "somebody who joined nothing was told so and let go"),
     "bad_message": (("peer", "field"), "a peer sent what cannot be read; its connection ends"),
     "probe": (("server", "outcome", "why", "ms"), "a server's answers to probes changed"),
+    "probes_wait": (("room", "slots"), "more questions at once than there is room for; they wait, said once a start"),
     "decision_failed": (("cause", "at_line", "events"), "a defect in the decisions; the events are told again one by one"),
     "failure": (("peer", "cause"), "a defect in the front; one connection ends"),
     "stream_closed": (("stream", "why"), "an xDS stream was closed: its reader stalled, or it refused a drain"),
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -68,6 +68,8 @@
         elif self.open >= self.hub.limits.probes_open:
             # Left out it would never be answered, and the decisions would wait for it.
             if server not in self.waiting:
+                if not self.hub.counters.get("probes_waited"):
+                    self.hub.log("probes_wait", room=self.hub.limits.probes_open, slots=self.hub.limits.slots)
                 self.hub.count("probes_waited")
                 self.waiting.append(server)
         else:
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -57,7 +57,7 @@
         self.all_classes, self.level = (1 << len(s.classes)) - 1, 1e6 if s.levels == "rate" else 1.0
         self.sheds, self.levelled_at, self.levels = s.levels == "share", -1e9, []
         self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
-        self.moves, self.choices = 9.0, 9.0
+        self.moves = 9.0
         self.servers, self.slices, self.proxies, self.pushes, self.serial = [], [], [], [], 0
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
@@ -295,10 +295,6 @@
             # Moves of choice only as far as a push has room: planned beyond it, they would crowd out spares.
             room = self.queue_half / max(1, sum(p.joined for p in self.proxies)) - self.head - 4
             self.moves = max(room / 8, room / 2 - sum(not p.laid() for p in mine))
-            # A moved slice's connections stand twice until the giver's have rested: as many as leave some
-            # free. Servers that came back have theirs free; what they take is not held back by it.
-            free = max(0.0, 1.0 - BURST * self.filled) / max(self.filled, LEAST)
-            self.choices = free * len(mine) * self.gap / max(self.rest, self.gap)
             self.take_back(mine)
             self.refill(mine)
             self.fill(mine)
@@ -404,17 +400,16 @@
             return  # with no news, heat is of the past
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
-        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and self.now - s.gave_at > (
-            PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
+        # One that is only slower than others, not by quoted times, keeps what it has: a moved slice finds its
+        # keys cold, and its connections stand twice until the giver's have rested.
+        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and (s.latency.middle() or 0.0) >= self.sore
+               and self.now - s.gave_at > (PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
         cool = [s for s in self.servers if s.grade == WARM and not s.out and s.heat < 1.1
                 and (s.held.middle() or 0.0) <= self.usual_held
                 and self.now - max(s.gave_at, s.got_at) > FILL]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
-            slow = (giver.latency.middle() or 0.0) >= self.sore
-            if self.moves <= 0 or self.choices <= 0 and not slow:
-                continue
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
-                if self.now - piece.moved_at <= FILL_REST or not self.settled(piece):
+                if self.now - piece.moved_at <= FILL_REST or not self.settled(piece) or self.moves <= 0:
                     continue
                 fit = [s for s in cool if s is not giver and s.heat < giver.heat
                        and self.fits(s, piece.demand, FULL)
@@ -425,7 +420,7 @@
                     to = fit[int(min(2 * self.instances, len(fit)) * self.chance.draw())]
                     self.move(piece, to)
                     cool = [s for s in cool if s is not to and s is not giver]
-                    giver.gave_at, self.choices = self.now, self.choices - 1
+                    giver.gave_at = self.now
                     break
 
     def part(self, server, more=0.0):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -653,6 +653,7 @@
     for name in ("s1", "s2", "s3", "s3"):
         assigner.probes.ask(assigner.door.servers[name])
     assert assigner.probes.open == 2 and len(hub.made) == 2
+    assert [said for said, _ in hub.logged].count("probes_wait") == 1
     hub.made[0].close("refused")
     assert assigner.probes.open == 2 and len(hub.made) == 3 and not assigner.probes.waiting
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -259,6 +259,7 @@
     c.heard, c.good_at, c.reported_at, servers[0].hot = True, c.now, c.now, rules.FILL_REPORTS
     for s, ops in zip(servers, (9, 2, 2, 30)):
         c.told(core.Probed(s, "answered", 5.0, {"held": ops}))
+    heard(c, servers[0], 20, latency=900.0)
     c.judge()
     servers[0].heat = 3.0
     c.weigh(made)
