--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -28,6 +28,8 @@
     (raw_config(seed="xyz"), {}, "seed"), (raw_config(settings=None), {}, "settings"),
     (raw_config(settings=SETTINGS | {"requestClasses": []}), {}, "requestClasses"),
     (raw_config(settings=SETTINGS | {"familyInfo": {"keyRanges": "8"}}), {}, "keyRanges"),
+    *((raw_config(settings=SETTINGS | {"balancers": b}), {}, "balancers") for b in (0, -1, 2.5, 10 ** 6, "5", True)),
+    (raw_config(settings=SETTINGS | {"familyInfo": {"smallestConnTable": -1}}), {}, "smallestConnTable"),
     (raw_config(limits={"sockets": 10}), {}, "sockets"), (raw_config(limits={"memory_mb": True}), {}, "memory_mb"),
     (raw_config(), {"ROUTER_LISTEN": "127.0.0.2:1"}, "listen"), (raw_config(), {"ROUTER_NAME": "n2"}, "name")])
 def test_what_is_wrong_is_named(tmp_path, raw, environ, key):
@@ -50,10 +52,21 @@
     assert said in "".join(capsys.readouterr())
 
 
+@pytest.mark.parametrize("told, instances", [({}, 1), ({"balancers": 5}, 5), ({"balancers": 1024.0}, 1024)])
+def test_counts_may_be_left_out_or_written_with_a_point(tmp_path, told, instances):
+    # The deployments' files write 119.0 for a table of 119 connections: the first text refused to start for it.
+    family = SETTINGS["familyInfo"] | {"smallestConnTable": 119.0, "keyRanges": 1241.0, "dataPlaneSize": 2000.0}
+    raw = raw_config(settings=SETTINGS | {"familyInfo": family} | told, known=whole_list(*(f"s{k}" for k in range(3000))))
+    config = load({"ROUTER_CONFIG": written(tmp_path, raw)})
+    assert (config.settings.instances, config.settings.slices, config.words["proxies"]) == (instances, 1241, 2000)
+    assert config.settings.connections == 119 and len(config.known["targets"]) == 3000
+
+
 @pytest.mark.parametrize("sockets", [48, 128, 1024, 65536])
 def test_sizes_follow_the_limits_with_room(tmp_path, sockets):
     config = load({"ROUTER_CONFIG": written(tmp_path, raw_config(limits={"sockets": sockets, "memory_mb": 64}))})
     limits = config.limits
+    assert limits.probes_open <= limits.slots / 4 and (sockets < 1024 or limits.probes_open >= 240)
     assert limits.slots < sockets - 12 and 4 < limits.callers < limits.slots and limits.buffers <= 16e6
     assert config.relay == ("127.0.0.1", 6400) and config.seed == 0x8c1f and config.words["classes"][1] == "write"
 
