The filler's periods are those of all controllers together

At fault: the periods of `gave_at` and `got_at` in `fill`.

Its test counts the gifts of five controllers in two periods: 5 to 10, and 25 and more without the change.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -402,11 +402,14 @@
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         # One that is only slower than others, not by quoted times, keeps what it has: a moved slice finds its
         # keys cold, and its connections stand twice until the giver's have rested.
+        # A period is that of all controllers together: five that each gave and each chose made 100 moves a
+        # second, and a jam of the work on cold keys.
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and (s.latency.middle() or 0.0) >= self.sore
-               and self.now - s.gave_at > (PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
+               and self.now - s.gave_at > self.instances * (
+                   PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
         cool = [s for s in self.servers if s.grade == WARM and not s.out and s.heat < 1.1
                 and (s.held.middle() or 0.0) <= self.usual_held
-                and self.now - max(s.gave_at, s.got_at) > FILL]
+                and self.now - max(s.gave_at, s.got_at) > FILL * self.instances]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 if self.now - piece.moved_at <= FILL_REST or not self.settled(piece) or self.moves <= 0:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -178,3 +178,22 @@
     c.plan()
     c.judge()
     assert {o.further for o in c.tries()} == further
+
+
+def test_a_server_gives_one_slice_a_period_whoever_holds_its_slices():
+    # Five controllers each gave one in 5 s and chose each receiver as often: 100 moves a second on a calm day.
+    given = 0
+    for c in crew(5, 40, [k // 5 % 40 for k in range(1600)], sized=False):
+        hot, period = c.servers[0], rules.FILL * 5
+        for _ in range(int(2 * period / 1000)):
+            for server in c.servers:
+                heard(c, server, 20, latency=900.0 if server is hot else 100.0)
+            c.judge()
+            hot.hot = rules.FILL_REPORTS
+            before = len(hot.owned) or 8
+            c.plan()
+            for piece in c.slices:
+                piece.present = piece.wanted  # pushed and answered
+            given += before - sum(p.owner() is hot for p in c.slices if p.held)
+            c.now += 1000.0
+    assert 5 <= given <= 10
