The filler's period goes by those who hold slices of a server, not by all controllers

With five assigners and six slices a server both are five, and nothing changes; of 230 only six hold a server's slices, and a period of all of them would have let it give one slice in 19 minutes. The same figure, doubled for spares, paces probes. Its test: 1, 5 and 230 controllers.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -11,7 +11,7 @@
 
 SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
-BURST = 1.5           # times its usual traffic that must find connections when slices move by choice
+BURST = 1.5           # times the usual traffic: whose connections would fill all tables, fills some by itself
 PROBED = 5.0          # questions a second at one server, of all instances together
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
@@ -62,7 +62,7 @@
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
         self.fleet, self.settled_push, self.strained, self.busy, self.jammed = 0.0, 0, False, False, False
-        self.rejoined, self.crammed = False, False
+        self.rejoined, self.crammed, self.sharers = False, False, 1.0
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -310,6 +310,8 @@
             held = sum(1.0 - exp(-p.rate * each) for p in self.proxies if p.joined)
             self.filled = held / self.connections if self.connections else 0.0
             self.crammed = BURST * self.filled > 1.0
+            # So many controllers hold slices of one server.
+            self.sharers = min(self.instances, max(1.0, self.sliced / max(ready, 1)))
 
     def weigh(self, mine):
         # What was not yet heard of a slice counts as the mean: one just given is not light.
@@ -402,14 +404,14 @@
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         # One that is only slower than others, not by quoted times, keeps what it has: a moved slice finds its
         # keys cold, and its connections stand twice until the giver's have rested.
-        # A period is that of all controllers together: five that each gave and each chose made 100 moves a
-        # second, and a jam of the work on cold keys.
+        # A period is that of all who hold slices of a server: five that each gave and each chose made 100
+        # moves a second, and a jam of the work on cold keys.
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and (s.latency.middle() or 0.0) >= self.sore
-               and self.now - s.gave_at > self.instances * (
+               and self.now - s.gave_at > self.sharers * (
                    PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
         cool = [s for s in self.servers if s.grade == WARM and not s.out and s.heat < 1.1
                 and (s.held.middle() or 0.0) <= self.usual_held
-                and self.now - max(s.gave_at, s.got_at) > FILL * self.instances]
+                and self.now - max(s.gave_at, s.got_at) > FILL * self.sharers]
         for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 if self.now - piece.moved_at <= FILL_REST or not self.settled(piece) or self.moves <= 0:
@@ -589,8 +591,7 @@
         # A server is asked PROBED times a second whoever asks: by those whose lines name it, owner and spare
         # of each slice, and as often again by the others together. 230 that asked twice a second each filled
         # it.
-        users = max(1.0, 2.0 * self.sliced / max(1, len(ready))) if self.sliced else self.instances
-        users = min(self.instances, users)
+        users = min(self.instances, 2.0 * self.sharers if self.sliced else self.instances)
         named = {s for p in self.slices if p.held for s in p.wanted}
         for server in ready:
             every = max(PROBE_EVERY, 1000.0 * (users if server in named else self.instances) / PROBED)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -197,3 +197,11 @@
             given += before - sum(p.owner() is hot for p in c.slices if p.held)
             c.now += 1000.0
     assert 5 <= given <= 10
+
+
+@pytest.mark.parametrize("count, sharers", [(1, 1), (5, 5), (230, 6)])
+def test_periods_go_by_those_who_hold_slices_of_a_server_not_by_all(count, sharers):
+    # Of 230 controllers six hold a server's slices: waiting for all of them it would give one in 19 minutes.
+    c = crew(count, 40, [k % 40 for k in range(240)])[0]
+    c.fill_up()
+    assert c.sharers == sharers
