--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -79,7 +79,7 @@
         self.open += 1
         probe = Probe(self, server, end)
         if probe.connection is None:
-            # No slot: those of relay, discovery and collectors go before it, and it comes again once one is free.
+            # No slot at all: left out, and asked again when the decisions have waited for it long enough.
             self.hub.drop(probe.overdue)
             self.open -= 1
             self.hub.count("probes_left_out")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -36,7 +36,7 @@
 
 @pytest.mark.parametrize("count", [1, 5, 230])
 def test_all_controllers_together_ask_a_server_no_oftener_than_it_can_bear(count):
-    # 230 controllers that asked twice a second each took 1.8 cores of a server's five for answers to questions.
+    # 230 controllers that ask twice a second each would take 1.8 cores of a server's five, by a site's figures.
     asked = Counter()
     for c in crew(count, 40, [k % 40 for k in range(240)], probes=True):
         c.judge()
@@ -109,7 +109,7 @@
 
 @pytest.mark.parametrize("latency, moves", [(250.0, 0), (900.0, 1)])
 def test_a_server_gives_only_where_it_is_slow_by_quoted_times(latency, moves):
-    # Slices moved between quick and quicker servers, two in three within 10 s: each had its connections at giver and
+    # Slices moved between quick and quicker servers, 2.5 times each in 35 s: each had its connections at giver and
     # receiver, and all servers refused new ones. In 45 quiet minutes each slice moved 52 times.
     assert crowded(119.0, latency) == moves
 
@@ -168,7 +168,7 @@
 @pytest.mark.parametrize("connections, latency, further", [
     (119.0, 130.0, {1, 2}), (119.0, 900.0, {0}), (400.0, 130.0, {0})])
 def test_connections_refused_do_not_end_further_tries(connections, latency, further):
-    # One in seven of what was refused found a free connection at the next server.
+    # Some of what was refused found a free connection at the next server.
     c = controller(slices=160, connections=connections, connection_rest=15_000.0)
     servers = fleet(c, 20)
     for p in join(c, 150):
