--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -74,6 +74,7 @@
     sweep: float = 5000.0          # between looks for servers that have left for good
     forgotten: int = 8192          # ids of them that are remembered as shut out
     turn_again: float = 250.0      # after a failed decision
+    view: float = 1000.0           # between log lines that tell what the decisions see
 
 
 @dataclass(frozen=True)
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -14,6 +14,7 @@
 from .messages import Messages
 from .probes import Probes
 from .relay import Relay
+from .view import View
 
 LOOK = 0  # the tag of the reminder for a look without news, as `interface.py` has it
 
@@ -34,12 +35,13 @@
         self.discovery = Discovery(hub, config.discovery, self.messages, self.tell, version)
         self.collectors = Collectors(hub, self.messages, self.tell)
         self.probes = Probes(hub, self.messages, self.tell, "/stats" if config.words["reports"] else "/health/live")
-        self.due, self.ringing = False, 0
+        self.due, self.ringing, self.view = False, 0, View(hub, self.door.controller)
 
     def start(self):
         self.relay.start()
         self.turn()
         self.sweep()
+        self.view.look()
         self.discovery.start()
 
     def reload(self, config: Config, later=()):
--- /dev/null
+++ b/havendyke/net/view.py
@@ -0,0 +1,36 @@
+"""What the decisions see, counted once a second for the log: where slices stand, what moved, whom nobody hears of."""
+from ..rules import CLOSED, COLD, GRADES, ILL
+from ..state import middle_of
+
+
+class View:
+    def __init__(self, hub, controller):
+        self.hub, self.controller, self.owners = hub, controller, {}
+
+    def look(self):
+        """For the log alone, off the path of any turn."""
+        c, now = self.controller, self.hub.now()
+        ready = [s for s in c.servers if s.state == "ready"]
+        owners = {p: p.owner() for p in c.slices if p.held}
+        used = {o for o in owners.values() if o}
+        # Whom slices were moved from since the last look, by what the giver is now.
+        left = [old.grade for p, to in owners.items() if (old := self.owners.get(p)) is not None and old is not to]
+        self.owners = owners
+        self.hub.log(
+            "view", servers=graded(s.grade for s in c.servers if s.state), shut=sum(s.out for s in c.servers),
+            cold=[sum(s.grade == COLD for s in c.servers), sum(s.grade == COLD for s in used)],
+            slices=graded(o.grade if o else CLOSED for o in owners.values()),
+            bare=sum(all(s.out or s.grade <= ILL for s in p.present) for p in owners),
+            unlaid=sum(not p.laid() for p in owners), moved=graded(left),
+            most=round(max((c.part(s) for s in used if s.grade >= COLD), default=0.0), 2),
+            fleet=[name for name in ("strained", "jammed", "busy", "crammed") if getattr(c, name)],
+            level=round(min(c.level, 9.0), 3), queue=round(c.queued / max(2 * c.queue_half, 1.0), 3),
+            heard_ms=round(min(middle_of([now - s.good_at for s in ready], 0.0), 1e6)))
+        self.hub.after(self.hub.limits.view, self.look)
+
+
+def graded(grades) -> dict:
+    counted = dict.fromkeys(GRADES, 0)
+    for grade in grades:
+        counted[GRADES[grade]] += 1
+    return {name: n for name, n in counted.items() if n}
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -31,6 +31,7 @@
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
+GRADES = ("closed", "ill", "cold", "warm")
 
 
 class Controller:
@@ -62,7 +63,7 @@
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
         self.fleet, self.settled_push, self.strained, self.busy, self.jammed = 0.0, 0, False, False, False
-        self.rejoined, self.crammed, self.sharers = False, False, 1.0
+        self.rejoined, self.crammed, self.sharers, self.fair = False, False, 1.0, 1e9
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,8 @@
 
 from havendyke import interface as core
 from havendyke import rules
+from havendyke.lab.hub import LabHub
+from havendyke.net.view import View
 
 
 def crew(count, servers, owners, **settings):
@@ -205,3 +207,17 @@
     c = crew(count, 40, [k % 40 for k in range(240)])[0]
     c.fill_up()
     assert c.sharers == sharers
+
+
+def test_the_log_tells_where_slices_stand_and_whom_they_were_moved_from():
+    # Five logs named no server but by its probes: that two in three cold servers stood idle was not to be seen.
+    c, written, hub = controller(), {}, LabHub()
+    hub.log, view = lambda event, **more: written.update(more), View(hub, c)
+    warm, cold = fleet(c, 1) + fleet(c, 1, started=c.now - 2000.0)
+    first, second = slices(c, [warm, cold])
+    c.judge()
+    view.look()
+    assert written["cold"] == [1, 1] and written["slices"] == {"cold": 1, "warm": 1} and not written["moved"]
+    second.wanted = {warm: 1.0}
+    view.look()
+    assert written["cold"] == [1, 0] and written["moved"] == {"cold": 1} and written["unlaid"] == 1
