--- a/havendyke/net/view.py
+++ b/havendyke/net/view.py
@@ -24,6 +24,7 @@
             unlaid=sum(not p.laid() for p in owners), moved=graded(left),
             most=round(max((c.part(s) for s in used if s.grade >= COLD), default=0.0), 2),
             fleet=[name for name in ("strained", "jammed", "busy", "crammed") if getattr(c, name)],
+            slow=graded(s.grade for s in ready if (s.latency.middle() or 0.0) >= c.sore),
             level=round(min(c.level, 9.0), 3), queue=round(c.queued / max(2 * c.queue_half, 1.0), 3),
             heard_ms=round(min(middle_of([now - s.good_at for s in ready], 0.0), 1e6)))
         self.hub.after(self.hub.limits.view, self.look)
