Cold servers get whole slices by turns among the assigners; successors count once

Moves by cause (a probe, not kept): 552 from warm to returned, 126 from cold to cold. Causes: 1. fits() held a cold server's part against one slice. Each of five assigners holds 1.27 slices a server, so that 0.75 x 3 x 1.27 x 0.3 = 0.9 of a slice fits none of the mean. 2. weigh() counted the fleet at its largest with 36 successors beside the 36 that had yet to drain (probe: 780 for 600 of size), a quarter off every cold part. 3. refill took from cold owners. Ruled out: the channel for orphans (bare 0 to 18 slices), levels (not followed there), probes. Change: a cold server's part for one of several is rounded down to whole slices after an even spread of turns (hash of the server and our number, settings' 'me'), so that all together give no more; Fleet counts successors only until as many have left; refill takes nothing from cold ones. Without 'me' parts stay as they were.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -120,6 +120,7 @@
         probes=take(limits, "probes", bool, False), levels=word(family, "throttleBy", LEVELS, "none"),
         sized=word(raw, "weightKind", SIZED, "none"),
         instances=count(raw, "balancers", 1, 1, INSTANCES),
+        place=None if raw.get("me") is None else count(raw, "me", 0, 0, INSTANCES),
         connections=figure(family, "smallestConnTable", 0.0, 0.0, MANY),
         connection_rest=ms(limits, "connIdle", 0.0, 0.0, DAY))
 
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -44,6 +44,7 @@
     levels: str = "none"       # how levels are followed: "share", "rate" or "none"
     sized: bool = False        # the list's sizes say something
     instances: int = 1         # controllers, this one among them
+    place: int | None = None   # this one's number among them, from 0; None: not told
     connections: float = 0.0   # that the smallest server takes at a time; 0: not told
     connection_rest: float = 0.0  # a connection stays open so long after its last operation
 
--- a/havendyke/net/view.py
+++ b/havendyke/net/view.py
@@ -1,7 +1,9 @@
 """What the decisions see, counted once a second for the log: where slices stand, what moved, whom nobody hears of."""
-from ..rules import CLOSED, COLD, GRADES, ILL
+from ..rules import CLOSED, COLD, ILL
 from ..state import middle_of
 
+GRADES = ("closed", "ill", "cold", "warm")  # their names in the log
+
 
 class View:
     def __init__(self, hub, controller):
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -7,7 +7,8 @@
 from math import exp, log, log2
 
 from . import interface as core
-from .state import Chance, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, users_of
+from .state import (Chance, Fleet, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of,
+                    users_of)
 
 SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
@@ -31,7 +32,6 @@
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
-GRADES = ("closed", "ill", "cold", "warm")
 
 
 class Controller:
@@ -41,6 +41,7 @@
         self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.work = [c.quoted for c in s.classes]  # work is told nowhere; a longer quoted time suggests more
         self.sliced, self.one_owner, self.instances = s.slices, s.one_owner, s.instances
+        self.place, self.turns = s.place, Slice("turns", 1)
         self.connections, self.rest, self.counted, self.filled = s.connections, s.connection_rest, None, 0.0
         self.lease, self.lingers, self.delay = s.lease, s.lingers, s.push_delay
         self.queue_half, self.pace, self.head = s.queue_limit / 2, s.channel_rate / 1000 / SLOWEST, s.overhead
@@ -62,7 +63,7 @@
         self.servers, self.slices, self.proxies, self.pushes, self.serial = [], [], [], [], 0
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
-        self.fleet, self.settled_push, self.strained, self.busy, self.jammed = 0.0, 0, False, False, False
+        self.fleet, self.settled_push, self.strained, self.busy, self.jammed = Fleet(), 0, False, False, False
         self.rejoined, self.crammed, self.sharers, self.fair = False, False, 1.0, 1e9
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
@@ -71,7 +72,10 @@
                 table.held, table.zone = True, number - 1 if number else None
 
     def server(self, ident):
-        return added(self.servers, Server(ident, BINS))
+        made = added(self.servers, Server(ident, BINS))
+        if self.sliced and self.instances > 1 and self.place is not None:  # `turns`: the same draw at all
+            made.turn = (hashed(self.turns, made) + self.place / self.instances) % 1.0
+        return made
 
     def slice(self, ident):
         return added(self.slices, Slice(ident, len(self.work)))
@@ -210,7 +214,7 @@
             self.halved_at = self.now
             for kept in self.servers + self.slices:
                 kept.halve()
-            self.fleet *= 0.98
+            self.fleet.largest *= 0.98
         ready, suspects = [s for s in self.servers if s.state == "ready"], []
         self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
         # Where the middle server fails too, all are full or we are cut off: emptying one drowns the next.
@@ -282,7 +286,7 @@
         for server in [s for s in self.servers if s.grade == COLD and not s.assumed]:
             # A cold server with slices from before its start is cut to what it can do, or it falls over. One
             # that only an old list makes cold keeps what stands: cut, a well fleet would lose its tables.
-            over = server.load - 1.25 * self.usual * server.sure
+            over = server.load - 1.25 * self.bearable(server)
             for piece in sorted(server.owned, key=lambda p: -p.demand):
                 lost += [piece] if over > 0 else []
                 over -= piece.demand
@@ -329,13 +333,20 @@
         usable = sum(s.capacity for s in self.servers if s.grade >= COLD)
         self.fair = total / usable if usable else 1e9
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
-        self.fleet = max(self.fleet, sum(s.size for s in self.servers if s.state == "ready"))
+        ready = [s for s in self.servers if s.state == "ready"]
+        self.fleet.count(sum(s.size for s in ready), sum(s.size for s in ready if s.grade == COLD))
         # After a start neither demand nor strain is known, and the levels of before are gone.
         wary = self.strained or self.now - self.booted_at < WARY
-        self.usual = COLD_PART[wary] * self.overload * total / max(self.fleet, 1e-6)
+        self.usual = COLD_PART[wary] * self.overload * total / max(self.fleet.largest, 1e-6)
+
+    def bearable(self, server):
+        # A cold server's part for each of several controllers is often less than one slice, and it stood idle
+        # while the rest drowned. So whole slices; turns to round up are spread over all of them evenly.
+        part = self.usual * server.sure
+        return part if server.turn is None else float(int(part + server.turn))
 
     def fits(self, server, demand, part):
-        room = self.usual * server.sure if server.grade == COLD else part * self.fair * server.capacity
+        room = self.bearable(server) if server.grade == COLD else part * self.fair * server.capacity
         # Where a controller holds fewer slices than there are servers, one is more than any server's part:
         # held against that, all controllers would give theirs to the same largest server.
         one = server.grade == WARM and not server.owned and self.fair * server.capacity < demand
@@ -388,8 +399,10 @@
         for server in back:
             server.returning = server.grade == COLD or self.part(server) < 0.8
         back = [s for s in back if self.now - s.got_at >= PUSH_GAP]
-        # Who may give is sought once a look: sought anew for each of 72 servers it cost half of all looks.
-        give = back and sorted((p for p in mine if (o := p.owner()) and self.settled(p) and self.spares(o, p)),
+        # Who may give is sought once a look: for 72 servers anew it cost half of all looks. Not cold ones:
+        # plan() cuts them to what they bear, and from one to the next a slice only finds its keys cold again.
+        give = back and sorted((p for p in mine if (o := p.owner()) and o.grade != COLD
+                                and self.settled(p) and self.spares(o, p)),
                                key=lambda p: (-self.part(p.owner()), -p.demand))
         for server in back if self.moves > 0 else ():
             for piece in give:
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -59,6 +59,20 @@
     return made
 
 
+class Fleet:
+    """The ready servers' sizes at their largest. Successors that stand beside those that have yet to drain count
+    until these do: at a release of the half in two waves the fleet looked a third larger than it ever was."""
+
+    def __init__(self):
+        self.largest = self.ready = self.beside = 0.0
+
+    def count(self, ready, cold):
+        """`cold`: what of the ready ones started lately; nobody else can be a successor."""
+        beside = min(self.beside + max(0.0, ready - self.ready), cold) if self.ready else 0.0
+        left = min(beside, max(0.0, self.ready - ready))
+        self.largest, self.beside, self.ready = max(self.largest - left, ready), beside - left, ready
+
+
 class Push:
     def __init__(self, serial, each, waits, at):
         self.serial, self.each, self.at = serial, each, at  # each: lines a proxy, with heads
@@ -77,6 +91,7 @@
         self.out, self.shut_once, self.doubt, self.owned = False, False, False, []
         self.ill_till, self.rest = None, 0.0
         self.load = self.capacity = self.sure = 0.0
+        self.turn = None  # from 0 to 1, at which part of a slice a controller of several rounds up
         self.probed_at, self.got_at, self.gave_at, self.good_at = None, -1e9, -1e9, -1e9
 
     def halve(self):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,13 +8,14 @@
 from havendyke import rules
 from havendyke.lab.hub import LabHub
 from havendyke.net.view import View
+from havendyke.state import Fleet
 
 
 def crew(count, servers, owners, **settings):
     """Controllers with the same servers; each holds the next of the slices whose owners are given by number."""
     made = []
     for number in range(count):
-        c = controller(slices=len(owners), instances=count, **settings)
+        c = controller(slices=len(owners), instances=count, place=number, **settings)
         c.chance.now = c.phase.now = 1 + 7919 * number
         known = fleet(c, servers)
         for ident in range(number, len(owners), count):
@@ -239,3 +240,71 @@
     c.judge()
     c.plan()
     assert sum(bool(s.owned) for s in servers[30:]) > 5 and max(asked.values()) <= 2
+
+
+# Of 230 controllers each has a slice or two, and orphans go to their warm spares: cold ones stay nearly idle there.
+@pytest.mark.parametrize("count, least", [(1, 0.5), (5, 0.5), (230, 0.0)])
+def test_all_controllers_together_use_cold_servers_and_bring_none_more_than_its_part(count, least):
+    # Six in ten servers replaced within 7 s. A part of less than a slice for each of five fitted none: two in three
+    # cold servers stood idle while the warm ones drowned. Successors beside their predecessors must not count twice.
+    made = crew(count, 60, [k % 60 for k in range(360)])
+    begun, brought, used = made[0].now + rules.WARY, Counter(), Counter()
+    for c in made:
+        c.queue_half = 1e9
+        c.judge()
+        c.plan()
+        for second in range(10):
+            c.now = begun + 1000.0 * second
+            if second in (0, 4):
+                fresh = [c.server(f"n{len(c.servers)}") for _ in range(18)]
+                c.members(core.Members("changes", [core.Entry(s, "ready", c.now, 0, 0, 0, 1.0) for s in fresh]))
+            if second in (2, 6):
+                left = c.servers[:18] if second == 2 else c.servers[18:36]
+                c.members(core.Members("changes", [core.Entry(s, "draining", None, 0, 0, 0, 1.0) for s in left]))
+            c.judge()
+            c.plan()
+            for piece in c.slices:
+                piece.present = dict(piece.wanted)  # pushed and answered
+            for server in (s for s in c.servers if s.grade == rules.COLD):
+                brought[second, server.id] += server.load
+                used[second, server.id] = rules.COLD_PART[0] * 3.0 * 6.0 * server.sure
+    assert max(brought[key] - 1.15 * used[key] for key in used) <= 1.0
+    assert sum(brought[9, s.id] for s in c.servers) > least * sum(used[9, s.id] for s in c.servers)
+
+
+def test_servers_that_come_back_take_nothing_from_cold_ones():
+    # 50 slices a second went from one cold server to the next, and found their keys cold again.
+    c = controller(slices=40, queue_limit=61_560.0)
+    servers = fleet(c, 8) + fleet(c, 4, started=c.now - 8000.0)
+    for piece in slices(c, [servers[8 + k % 2] for k in range(30)] + [servers[k] for k in range(8)]):
+        piece.given_at = -1e9
+        piece.heat.add(0, 10.0)
+    join(c, 20)
+    for server in servers[10:]:
+        server.returning = True
+    c.judge()
+    c.weigh(mine := [p for p in c.slices if p.held])
+    c.moves = 9.0
+    c.refill(mine)
+    assert not servers[10].owned and not servers[11].owned
+
+
+def test_successors_beside_their_predecessors_do_not_make_the_fleet_look_larger():
+    # 36 of 120 started before 36 drained, twice: the fleet counted as 156, and cold servers got a quarter less.
+    f = Fleet()
+    f.count(120.0, 0.0)
+    f.count(156.0, 36.0)
+    f.count(120.0, 36.0)
+    assert f.largest == 120.0
+    f.count(136.0, 52.0)
+    f.count(120.0, 72.0)  # 20 more came with the list that 36 left in
+    assert f.largest == 120.0
+    f.count(80.0, 32.0)   # a zone is lost, cold ones with it: no successors
+    assert f.largest == 120.0
+
+
+def test_a_start_among_cold_servers_only_counts_them_in_full():
+    f = Fleet()
+    f.count(120.0, 120.0)
+    f.count(80.0, 80.0)
+    assert f.largest == 120.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -155,7 +155,7 @@
     made = slices(c, fleet(c, 4))
     c.now += since
     c.weigh(made)
-    assert (c.usual < rules.COLD_PART[0] * c.overload * len(made) / c.fleet) == wary
+    assert (c.usual < rules.COLD_PART[0] * c.overload * len(made) / c.fleet.largest) == wary
 
 
 def test_store_names_a_server_the_stale_list_lacks():
