--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,4 +1,4 @@
-"""A look of the decisions at the full fleet, beside the text before the fleet test, at three sizes.
+"""A look of the decisions at the full fleet, and in a release, beside the text before fleet growth, at three sizes.
 
 Time is told as ratios, min/median/max over repeats; what controllers do together is counted and the same every run.
 """
@@ -7,7 +7,7 @@
 
 from ._earlier import compared, package
 
-BEFORE = "5e7bf43"  # the last version before the fleet test
+BEFORE = "56d355e"  # the last version before fleet growth; 5e7bf43 before the fleet test
 SIZES = ((50, 60, 375), (200, 249, 1500), (1024, 300, 2000))  # servers, slices held, proxies
 LOOKS = 12
 
@@ -45,11 +45,18 @@
     return run
 
 
-def looks(name, size):
-    """Looks with 100 reports and the answers to the last mark in each, a quarter of the servers slow."""
+def looks(name, size, release=False):
+    """Looks with 100 reports and the answers to the last mark in each, a quarter of the servers slow. `release`: a
+    third of the servers just started, beside as many that drain."""
     c, core, events = begun(name, *size)
     state = {"now": 1000.0, "mark": 0, "at": 0}
     c.turn(state["now"], events)
+    if release:
+        old = c.servers[:size[0] // 3]
+        fresh = [c.server(f"n{k}") for k in range(len(old))]
+        c.turn(state["now"], [core.Members("changes", [
+            *(core.Entry(s, "ready", state["now"], k % 3, 0, 0, 1.0) for k, s in enumerate(fresh)),
+            *(core.Entry(s, "draining", None, 0, 0, 0, 1.0) for s in old)])])
 
     def run():
         for _ in range(LOOKS):
@@ -88,7 +95,7 @@
 
 def measure() -> dict:
     earlier = package(BEFORE)
-    ways = {"first_look": start, "looks": looks}
+    ways = {"first_look": start, "looks": looks, "looks_in_a_release": lambda name, size: looks(name, size, True)}
     return {"benchmark": "fleet", "before": BEFORE, "looks_a_run": LOOKS,
             **{way: {f"{size[0]}_servers_{size[1]}_slices_{size[2]}_proxies":
                      compared(make(earlier, size), make("havendyke", size), 5) for size in SIZES}
