The budget of moves is asked before each move to a server that came back

Seen in a last read of the change: since refill asked it once a look, so that every newcomer could take a slice in one look, whatever room a push had (a budget of 3 gave more in the test). The lines at fault: the loop over 'back'. Change: asked before each move, as before; a test that fails without it.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -405,8 +405,8 @@
         give = back and sorted((p for p in mine if (o := p.owner()) and o.grade != COLD
                                 and self.settled(p) and self.spares(o, p)),
                                key=lambda p: (-self.part(p.owner()), -p.demand))
-        for server in back if self.moves > 0 else ():
-            for piece in give:
+        for server in back:
+            for piece in give if self.moves > 0 else ():
                 o = piece.owner()
                 if o is not server and self.fits(server, piece.demand, 0.9) and self.spares(o, piece):
                     self.move(piece, server)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -351,3 +351,18 @@
     c.judge()
     c.weigh(made)
     assert (c.usual < 0.6 * rules.COLD_PART[0] * c.overload * sum(p.demand for p in made) / c.fleet.largest) == wary
+
+
+def test_servers_that_come_back_take_no_more_in_a_look_than_a_push_has_room_for():
+    # Asked once a look, the budget let 72 newcomers each take a slice, and their lines crowded out spares.
+    c = controller(slices=300, queue_limit=61_560.0)
+    servers = fleet(c, 60)
+    mine = slices(c, [servers[k % 30] for k in range(300)])
+    join(c, 150)
+    for server in servers[30:]:
+        server.returning = True
+    c.judge()
+    c.weigh(mine)
+    c.moves = 3.0
+    c.refill(mine)
+    assert sum(len(s.owned) for s in servers[30:]) == 3
