--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -7,8 +7,8 @@
 from math import exp, log, log2
 
 from . import interface as core
-from .state import (Chance, Fleet, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of,
-                    turned, users_of)
+from .state import (
+    Chance, Fleet, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, turned, users_of)
 
 SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
@@ -63,7 +63,7 @@
         self.good_at = self.now = self.halved_at = self.reported_at = self.next_push = self.soon = -1e9
         self.listed, self.booted_at, self.urgent, self.away, self.parted_at = False, None, True, False, -1e9
         self.fleet, self.settled_push, self.strained, self.busy, self.jammed = Fleet(), 0, False, False, False
-        self.rejoined, self.crammed, self.sharers, self.fair = False, False, 1.0, 1e9
+        self.rejoined, self.crammed, self.drowned, self.sharers, self.fair = False, False, False, 1.0, 1e9
         self.own_zone = sum(1 << k for k, c in enumerate(s.classes) if c.own_zone)
         if not self.sliced:
             for number in range(1 + (s.zones if self.own_zone else 0)):
@@ -72,8 +72,7 @@
 
     def server(self, ident):
         made = added(self.servers, Server(ident, BINS))
-        if self.sliced and self.instances > 1 and self.place is not None:
-            made.turn = turned(made, self.place)
+        made.turn = turned(made, self.place, self.instances) if self.sliced else None
         return made
 
     def slice(self, ident):
@@ -223,6 +222,7 @@
         self.jammed = middle_of(slow, self.sore) >= self.sore
         good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
         self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
+        self.drowned = self.jammed and bad > BAD_SHARE * (good + bad)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next. So does
@@ -333,14 +333,14 @@
         self.fair = total / usable if usable else 1e9
         # A cold server's part goes by the fleet at its largest: with many lost, a fair part would fell it.
         self.fleet.count([s for s in self.servers if s.state == "ready"], COLD)
-        # After a start neither demand nor strain is known, and the levels of before are gone.
-        wary = self.strained or self.now - self.booted_at < WARY
+        # After a start neither demand nor strain is known. Where the middle server is slow and all fail as
+        # one that fails does, they are full: newcomers not heard yet make the middle one look well.
+        wary = self.strained or self.drowned or self.now - self.booted_at < WARY
         self.usual = COLD_PART[wary] * self.overload * total / max(self.fleet.largest, 1e-6)
 
     def bearable(self, server, part=FULL):
-        # A part of a server is often less than a slice, or little more, for each of several controllers: held
-        # to it, all kept two on each warm server and none gave the cold ones anything. So whole slices; turns
-        # to round up are spread over all controllers evenly.
+        # A part of a server is a slice or less for each of several controllers: held to it, all kept two on
+        # each warm server and gave cold ones nothing. So whole slices; each rounds up in its turn.
         room = self.usual * server.sure if server.grade == COLD else part * self.fair * server.capacity
         return room if server.turn is None else int(room + server.turn)
 
@@ -395,11 +395,11 @@
                     self.move(piece, server)
 
     def refill(self, mine):
-        # One slice a push for each server that came back: the filler alone would take the rest of the day.
+        # One slice a push for each server that came back: the filler would take the rest of the day.
         back = [s for s in self.servers if s.returning and s.grade >= COLD and not s.out]
         for server in back:
             server.returning = server.grade == COLD or self.part(server) < 0.8
-        back = sorted((s for s in back if self.now - s.got_at >= PUSH_GAP), key=self.part)
+        back = sorted([s for s in back if self.now - s.got_at >= PUSH_GAP], key=self.part)
         # Who may give is sought once a look: for 72 servers anew it cost half of all looks. Not cold ones:
         # plan() cuts them to what they bear, and from one to the next a slice only finds its keys cold again.
         give = back and sorted((p for p in mine if (o := p.owner()) and o.grade != COLD
@@ -407,8 +407,8 @@
                                key=lambda p: (-self.part(p.owner()), -p.demand))
         for server in back if self.moves > 0 else ():
             for piece in give:
-                if self.fits(server, piece.demand, 0.9) and (o := piece.owner()) is not server and (
-                        self.spares(o, piece)):
+                o = piece.owner()
+                if o is not server and self.fits(server, piece.demand, 0.9) and self.spares(o, piece):
                     self.move(piece, server)
                     give.remove(piece)
                     break
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -1,6 +1,7 @@
 """What a controller keeps of servers, slices and proxies, and how it counts: no rule and no tuned value."""
 from collections import defaultdict
 from hashlib import blake2b
+from math import gcd
 
 
 class Tally:
@@ -54,11 +55,16 @@
     return (int.from_bytes(mixed.digest()) + 1) / (1 << 56)
 
 
-def turned(server, place):
-    """A draw between 0 and 1 for a server and a controller's number: for each server the draws of all controllers, and
-    of any that follow each other, are spread evenly, for multiples of the golden ratio are."""
-    mixed = blake2b(server.name, digest_size=7, person=b"turn").digest()
-    return (int.from_bytes(mixed) / (1 << 56) + 0.618034 * place) % 1.0
+def turned(server, place, count):
+    """A part of one for a server and a controller's number among `count`, that each controller adds before it rounds
+    down: the parts are 0 to count - 1 over count, so that all together give no more than their share unrounded.
+    Controllers that follow each other, and may hold more slices, get parts that lie apart. None: alone, or its number is
+    not told."""
+    if count == 1 or place is None:
+        return None
+    stride = next(k for k in range(max(1, int(0.618 * count)), count + 1) if gcd(k, count) == 1)
+    mixed = int.from_bytes(blake2b(server.name, digest_size=7, person=b"turn").digest())
+    return (mixed + stride * place) % count / count
 
 
 def added(kind, made):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from havendyke import rules
 from havendyke.lab.hub import LabHub
 from havendyke.net.view import View
-from havendyke.state import Fleet
+from havendyke.state import Fleet, Server, turned
 
 
 def crew(count, servers, owners, **settings):
@@ -327,3 +327,27 @@
                 piece.present = dict(piece.wanted)
         got.update({s.id: s.load for s in c.servers})
     assert sum(got[f"s{k}"] for k in range(24)) < 200 and max(got.values()) <= 10
+
+
+@pytest.mark.parametrize("count", [2, 5, 12, 230])
+def test_parts_rounded_by_turns_never_come_to_more_than_the_whole(count):
+    # Rounded up by even draws they did for small parts: two controllers gave a cold server a slice for 0.6 of one.
+    for server in (Server(f"s{k}", 1) for k in range(5)):
+        for part in (0.1, 0.3, 0.5, 0.9, 1.48, 2.6):
+            given = sum(int(part + turned(server, place, count)) for place in range(count))
+            assert count * part - 1 < given <= count * part + 1e-9
+
+
+@pytest.mark.parametrize("bad, latency, wary", [(0, 100.0, False), (0, 900.0, False), (10, 900.0, True), (10, 100.0, False)])
+def test_cold_servers_get_less_while_the_servers_that_are_heard_are_full(bad, latency, wary):
+    # In a jam beside a release the newcomers, not yet heard, made the middle server one that never fails: cold ones
+    # got parts of a usual load that was twice what the fleet could do, and fell (lbsim, h2a2485, 5.2 times).
+    c = controller(slices=60)
+    servers = fleet(c, 10) + fleet(c, 12, started=c.now - 2000.0)
+    made = slices(c, [servers[k % 10] for k in range(60)])
+    for server in servers[:10]:
+        heard(c, server, 20, bad, latency)
+    c.now += rules.WARY + 1
+    c.judge()
+    c.weigh(made)
+    assert (c.usual < 0.6 * rules.COLD_PART[0] * c.overload * sum(p.demand for p in made) / c.fleet.largest) == wary
