Start and end: no signal is lost or fatal while it starts, no reader holds its end up

Change: signals are noted before the file is read and done once the loop runs; `run` ignores them until then; both outputs are written without waiting; the socket is closed.

--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -9,7 +9,7 @@
 from .config import ConfigError, load
 from .net.assigner import Assigner
 from .net.hub import Hub
-from .net.log import Log, counted
+from .net.log import Log, counted, unblocked
 
 
 COMMANDS = ("run", "check", "events", "settings", "state")
@@ -35,8 +35,9 @@
     return Durable(Options(**{key.replace("-", "_"): value for key, value in given["state"].items()}), log)
 
 
-async def serve(config, path=None, check=False, given=None, named=None):
-    """`given`: the operator's file as read, `named`: where it is."""
+async def serve(config, path=None, check=False, given=None, named=None, early=()):
+    """`given`: the operator's file as read, `named`: where it is; `early`: signals that came before the loop took them,
+    added to until it does."""
     counters = {}
     hub = Hub(config.limits, Log(Hub.now, config.limits.log_lines, config.limits.log_alike), counters)
     try:
@@ -48,9 +49,13 @@
         return
     loop = asyncio.get_running_loop()
 
+    unblocked(1)
+
     def show():
-        sys.stdout.buffer.write(counted(assigner.counters()))
-        sys.stdout.buffer.flush()
+        try:
+            os.write(1, counted(assigner.counters()))
+        except OSError:
+            hub.count("counters_untold")  # whoever asks and does not read must not stop the loop, or its end
 
     def end():
         # Nothing is worth waiting for: what is on its way stands by itself, the rest is the next start's.
@@ -70,13 +75,16 @@
             hub.count("reloads_refused")
             hub.log("reload_refused", cause=str(error)[:300])
 
-    loop.add_signal_handler(signal.SIGUSR1, show)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, end)
+    takes = {signal.SIGUSR1: show, signal.SIGHUP: reload, signal.SIGTERM: end, signal.SIGINT: end}
+    for name, take in takes.items():
+        loop.add_signal_handler(name, take)
+    for name in dict.fromkeys(early):
+        # The file may have changed after it was read: ignored, a move of discovery was lost for good.
+        loop.call_soon(takes[name])
     hub.log("start", name=config.name, listen=config.listen, limits=[config.limits.memory_mb, config.limits.sockets])
     assigner.start()
     while True:
+        listener = None
         try:
             listener = socket.create_server(config.listen, family=socket.AF_INET6 if ":" in config.listen[0]
                                             else socket.AF_INET)
@@ -87,6 +95,8 @@
             break
         except OSError as error:
             # The address may linger from the one before us, or not be there yet.
+            if listener is not None:
+                listener.close()  # or the next try would find our own leftover there
             hub.log("listen_failed", cause=error.strerror)
             await asyncio.sleep(config.limits.listen_again / 1000)
     await over.wait()
@@ -102,11 +112,17 @@
     parser.add_argument("--operator", help="the operator's own file; HAVENDYKE_OPERATOR by default")
     parser.add_argument("--check", action="store_true", help="read and check the configuration, then end")
     given = parser.parse_args(arguments)
-    for name in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2):
-        signal.signal(name, signal.SIG_IGN)  # until they mean something, they must not end the program
+    early = []
+    signal.signal(signal.SIGUSR2, signal.SIG_IGN)  # it means nothing, and must not end the program
+    if not given.check:
+        # Before the file is read: what is asked for from here on is done once the loop runs, an end at once.
+        for name in (signal.SIGHUP, signal.SIGUSR1):
+            signal.signal(name, lambda number, frame: early.append(number))
+        for name in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(name, lambda number, frame: os._exit(0))
     try:
         config = load(os.environ, given.config)
-        asyncio.run(serve(config, given.config, given.check, operator(given.operator), given.operator))
+        asyncio.run(serve(config, given.config, given.check, operator(given.operator), given.operator, early))
     except ConfigError as error:
         print(f"havendyke: {error}", file=sys.stderr)
         return 2
--- a/havendyke/net/log.py
+++ b/havendyke/net/log.py
@@ -5,15 +5,22 @@
 import orjson
 
 
+def unblocked(descriptor: int):
+    """A reader of what we say that stands still must not stop the loop. A line under a pipe's atomic size is written
+    whole or not at all."""
+    try:
+        if stat.S_ISFIFO(mode := os.fstat(descriptor).st_mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(descriptor, False)
+    except OSError:
+        pass  # closed by whoever started us: nobody reads it
+
+
 class Log:
     def __init__(self, clock, most: int, most_alike: int):
         """`most` lines a second, and of one event `most_alike`: a flood of one must not hide the others."""
         self.clock, self.most, self.most_alike, self.left, self.second, self.dropped = clock, most, most_alike, most, 0, 0
         self.alike = {}
-        # A reader of the log that stands still must not stop the loop. A line under the pipe's atomic size is
-        # written whole or not at all.
-        if stat.S_ISFIFO(os.fstat(2).st_mode):
-            os.set_blocking(2, False)
+        unblocked(2)
 
     def __call__(self, event: str, **more):
         now = self.clock()
