Callers: a refused stranger reads our last words though it floods; probes of a former start say nothing

A probe asked of a process before its restart was counted for the one after (`Probes.done` knew the server alone): two refusals fell a server, of which one may have been its predecessor's. Change: after last words our side ends, the other's bytes are read and left for 200 ms at most, within a stranger's whole time, by 32 connections at most; an answer of a former start is told as "moot", which counts neither way (tests/test_rules.py).

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -40,6 +40,8 @@
     stranger: float = 1500.0
     stranger_message: int = 1 << 12  # bytes of a message before a joining
     caller_buffer: int = 1 << 12   # of a connection's buffer at first, where others made it
+    linger: float = 200.0          # so long the other side may go on after our last words to it
+    lingering: int = 32            # that do so at a time; others are cut off
     collector_silence: float = 20_000.0
     report_count: int = 1_000_000  # operations in one report
     report_most: float = 1e6       # any other figure in it, times among them
--- a/havendyke/interface.py
+++ b/havendyke/interface.py
@@ -121,7 +121,7 @@
 @dataclass(slots=True)
 class Probed:
     server: object
-    outcome: str               # "answered", "error", "full", "overdue", "refused" or "reset"
+    outcome: str               # "answered", "error", "full", "overdue", "refused", "reset"; "moot": of a former start
     latency: float
     load: dict = field(default_factory=dict)
 
--- a/havendyke/lab/hub.py
+++ b/havendyke/lab/hub.py
@@ -20,6 +20,9 @@
         if self.heard:
             self.heard()
 
+    def write_eof(self):
+        pass
+
     def abort(self):
         if self.ended and not self.aborted:
             self.ended()
@@ -38,6 +41,7 @@
         self.counters, self.logged, self.time, self.made, self.later = {}, [], 1000.0, [], []
         self.deadlines, self.slots, self.loop = Deadlines(), Slots(self.limits.slots), self
         self.budget, self.born, self.dialled = Budget(1e6), 0.0, None
+        self.scratch, self.lingering = bytearray(self.limits.buffer), 0
 
     def log(self, event, **more):
         self.logged.append((event, more))
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -34,7 +34,9 @@
         self.hub.log("bad_report" if self.zone else "stranger_refused", zone=self.zone, field=str(error)[:200])
         if self.zone is None:
             self.connection.write(NACK)
-            self.connection.close("refused")
+            # Nobody stays longer by being refused.
+            left = self.patience.at - self.hub.now()
+            self.connection.close("refused", last_words=min(self.hub.limits.linger, left))
 
     def take(self, parts):
         kind = parts and parts[0] is not None and bytes(parts[0]).upper()
--- a/havendyke/net/hub.py
+++ b/havendyke/net/hub.py
@@ -13,7 +13,7 @@
     def __init__(self, hub, peer, number, least=None):
         self.hub, self.peer, self.number = hub, peer, number
         self.buffer = Buffer(least or hub.limits.buffer, hub.limits.message, hub.budget)
-        self.transport, self.deadline, self.dialling, self.over = None, None, None, False
+        self.transport, self.deadline, self.dialling, self.over, self.lingers = None, None, None, False, False
         self.heard_at = hub.now()
 
     def connection_made(self, transport):
@@ -27,7 +27,7 @@
 
     def get_buffer(self, sizehint):
         room = None if self.over else self.tell(self.buffer.room)
-        return bytearray(1024) if room is None else room  # what comes after the end is read and left
+        return self.hub.scratch if room is None else room  # what comes after the end is read and left
 
     def buffer_updated(self, count):
         if not self.over:
@@ -41,6 +41,7 @@
         return False
 
     def connection_lost(self, error):
+        self.leave()
         self.close("reset" if isinstance(error, ConnectionResetError) else "lost" if error else "ended")
 
     def tell(self, call, *more):
@@ -62,20 +63,45 @@
             if self.transport.get_write_buffer_size() > self.hub.limits.unread:
                 self.close("unread")  # whoever asks and never reads must not fill the memory
 
-    def close(self, why: str):
-        """Ends the connection for good; its peer hears of it once."""
+    def linger(self, wait: float) -> bool:
+        """Whether only our side ends for now: with bytes of the other's unread, an end is a reset, which overtakes what
+        we wrote last. For a moment they are read and left; few do so at a time, or a flood would take all slots."""
+        if self.transport is None or self.hub.lingering >= self.hub.limits.lingering:
+            return False
+        try:
+            self.transport.write_eof()
+        except (OSError, RuntimeError):
+            return False  # it is gone already
+        self.lingers, self.hub.lingering = True, self.hub.lingering + 1
+        self.deadline = self.hub.after(wait, self.leave)
+        return True
+
+    def leave(self):
+        if self.lingers:
+            self.lingers, self.hub.lingering = False, self.hub.lingering - 1
+            self.hub.drop(self.deadline)
+            self.hub.slots.leave(self.number)
+            self.transport.abort()
+
+    def close(self, why: str, last_words: float = 0.0):
+        """Ends the connection for good; its peer hears of it once. `last_words`: for so long the other side may still
+        read what was written just now."""
         if self.over:
             return
         self.over = True
         self.hub.drop(self.deadline)
-        self.hub.slots.leave(self.number)
         self.hub.loop.call_soon(self.buffer.release)  # slices of it may be in use right now
+        if not (last_words > 0 and self.linger(last_words)):
+            self.hub.slots.leave(self.number)
+            self.abort()
+        self.hub.count(f"closed_{self.peer.name}_{why}")
+        self.tell(self.peer.closed, self, why)
+
+    def abort(self):
         if self.transport is not None:
             self.transport.abort()
         elif self.dialling is not None:
             self.dialling.cancel()
-        self.hub.count(f"closed_{self.peer.name}_{why}")
-        self.tell(self.peer.closed, self, why)
 
 
 class Hub:
@@ -84,7 +110,7 @@
         self.loop = asyncio.get_running_loop()
         self.loop.set_exception_handler(self.failed)
         self.deadlines, self.slots = Deadlines(), Slots(limits.slots)
-        self.budget = Budget(limits.buffers)
+        self.budget, self.scratch, self.lingering = Budget(limits.buffers), bytearray(limits.buffer), 0
         self.armed, self.armed_at, self.late, self.tasks = None, None, False, set()
         self.born = time.monotonic()
 
--- a/havendyke/net/probes.py
+++ b/havendyke/net/probes.py
@@ -13,7 +13,8 @@
 
     def __init__(self, probes, server, address):
         self.probes, self.hub, self.server, self.address = probes, probes.hub, server, address
-        self.began, self.answer, self.body, self.outcome = self.hub.now(), None, b"", None
+        self.began, self.answer, self.body = self.hub.now(), None, b""
+        self.process = probes.messages.started.get(server)  # which of its starts is asked
         self.overdue = self.hub.after(self.hub.limits.probe, lambda: self.connection.close("overdue"))
         self.connection = self.hub.connect(address, self, self.hub.limits.probe_connect)
 
@@ -100,6 +101,8 @@
         self.next()
         if probe.server not in self.messages.started:
             return  # it has left for good meanwhile
+        if probe.process != self.messages.started[probe.server]:
+            outcome, load = "moot", {}  # what a process before it did says nothing of this one
         if outcome != self.last.get(probe.server, "answered"):
             self.hub.log("probe", server=probe.server.id, outcome=outcome, why=why,
                          ms=round(self.hub.now() - probe.began, 1))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -469,6 +469,9 @@
     def __init__(self):
         self.written = b""
 
+    def write_eof(self):
+        pass
+
     def write(self, data):
         self.written += data
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -670,3 +670,12 @@
     c.members(core.Members("changes", [core.Entry(a, "ready", None, 0, 0, 0, 1.0)]))
     c.judge()
     assert a.grade == rules.WARM and not a.assumed
+
+
+def test_a_refusal_by_a_servers_process_of_before_is_no_second_one():
+    c = controller(probes=True)
+    one, *_ = fleet(c, 6)
+    for outcome in ("refused", "moot"):
+        c.probed(core.Probed(one, outcome, 1.0))
+    c.judge()
+    assert one.streak == 1 and one.ill_till is None and not one.probing
