--- a/tests/net/test_crossing_relay.py
+++ b/tests/net/test_crossing_relay.py
@@ -215,6 +215,25 @@
     assert not [o for o in site.anew()["params"]["orders"] if o in stale], "an order of before"
 
 
+def test_what_stood_before_a_call_is_not_believed_after_it(world):
+    """The second connection was asked for before the call, and tells the lines of then after its answer."""
+    world.start(settings=QUIET)
+    world.listed("s1", "s2", "s3")
+    one = world.relay.next("news")
+    one.send({"id": one.call["id"], "result": True}, *STANDS)
+    two = world.relay.next("news")
+    peer = world.relay.next("call")
+    peer.send(accepted(peer, peer.call))
+    one.send(ack(1, mark_of(peer.call)), ack(2, mark_of(peer.call)))
+    world.counted("events_Answered", 2)
+    two.send({"id": two.call["id"], "result": True}, *STANDS)
+    look = world.relay.next("news")
+    look.send({"id": look.call["id"], "result": True}, *STANDS,
+              *(row(o["table"], o["host"], o["share"]) for o in peer.call["params"]["orders"] if o["op"] == "SET"))
+    world.counted_from("closed_news_done", 1)
+    assert not world.seen("rows_differ") and world.counters().get("rows_differ", 0) == 0
+
+
 def test_a_row_that_crosses_an_order_is_no_reason_to_order_it_again_for_good(world):
     site = Site(world)
     own = [o for o in site.call["params"]["orders"] if o["op"] == "SET"]
