Discovery: a list passed over beside a watch is looked at again once none stands

Found in a read of the change: the words of a whole list that was passed over as older counted as looked at (`Discovery.whole`), so that after discovery's own new start, with the last watch lost, the same words would have been skipped for good. The test fails on the text before (version 5 kept, 2 wanted) and passes now.

--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -151,8 +151,10 @@
         if self.checked == (self.version, words):
             self.hub.count("list_checked")
             return
-        self.object(question, value(body))
-        self.checked = (self.version, words)
+        told = value(body)
+        self.object(question, told)
+        if told["rev"] == self.version:  # one passed over may be the truth once no watch stands
+            self.checked = (self.version, words)
 
     def object(self, question, told):
         before = self.hub.counters.get("bad_entries", 0)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -147,3 +147,17 @@
     for _ in range(3):
         process.send_signal(signal.SIGHUP)
     assert logged("reloaded")["relay"] == ["127.0.0.2", 6400] and process.poll() is None
+
+
+def test_an_old_list_passed_over_beside_a_watch_is_taken_once_none_stands():
+    assigner, hub = front(discovery_streams=1)
+    discovery = quiet(assigner).discovery
+    discovery.watch()
+    watch, = at(hub, "discovery", "127.0.0.1")
+    feed(watch, answer({"rev": 5, "all": False, "targets": [listed("s1")]}))
+    old = answer(whole_list("s1", "s2", rev=2), chunked=False)
+    for taken in (5, 2):
+        discovery.ask(False)
+        feed(next(c for c in at(hub, "discovery", "127.0.0.1") if not c.peer.follow), old)
+        assert discovery.version == taken
+        watch.close("reset")  # discovery itself may have gone, and begun its versions anew
