--- a/tests/net/test_crossing_relay.py
+++ b/tests/net/test_crossing_relay.py
@@ -174,6 +174,17 @@
     assert world.logged("news")["proxies"] == 1
 
 
+def test_what_only_a_lost_connection_told_holds_once_another_tells_it(world):
+    site = Site(world).answer()
+    site.streams[0].send(subscribe(3))
+    world.counted("events_Joined", 3)
+    site.streams[0].close()
+    # The one that is left has not heard of it, and may never: a proxy that is not there would be waited for.
+    world.counted("events_Parted", 1)
+    site.streams[1].send(subscribe(3))
+    world.counted("events_Joined", 4)
+
+
 def test_all_news_lost_at_once_makes_what_stands_then_the_account(world):
     site = Site(world).answer()
     with one_look(world):
