Tests: two checks of crossings that could not fail can now

Found in a read of the change. Sixty unread counters did not fill a pipe, so that the test passed with a blocking output; three hundred do, and it fails there. Six watches asked for with the pause of 300 ms stayed under the bound of 1 s; twelve take 1.5 s, and it fails with the pause after each news.

--- a/tests/net/test_crossing_discovery.py
+++ b/tests/net/test_crossing_discovery.py
@@ -53,7 +53,7 @@
     world.start()
     world.discovery.next("whole").send(CHUNKED, chunk(world.listing("s1", "s2")), END)
     began = time.monotonic()
-    for rev in range(2, 8):
+    for rev in range(2, 14):  # two at a time: with the pause of 300 ms after each it would take 1.5 s
         world.discovery.next("watch").send(CHUNKED, chunk(change(rev, listed("s1"))), END)
         assert world.logged("list", version=rev)
     assert time.monotonic() - began < 1.0
--- a/tests/net/test_crossing_start.py
+++ b/tests/net/test_crossing_start.py
@@ -190,8 +190,8 @@
     world.start()
     world.process.send_signal(signal.SIGUSR1)
     assert stat.S_ISFIFO(os.fstat(world.process.stdout.fileno()).st_mode)
-    # Some thirty fill a pipe; each is told before the next is asked for, for the loop answers in between.
-    for _ in range(60):
+    # Some hundred fill a pipe; each is told before the next is asked for, for the loop answers in between.
+    for _ in range(300):
         world.process.send_signal(signal.SIGUSR1)
         assert world.pong()
     assert world.end() == 0
