Sole owners: a slice waits only for proxies that owe its own push an answer

Ruled out: the channel (queue 0.0 to 0.1), servers (130 warm), answers (no push waits while the queue is empty). At fault: `difference` held every cleared slice for `parted_at + lease + lingers`, and `parted_at` is one time of all proxies and slices: 346 of 1,744 proxies restarted in turn, and each that parted began the wait of all slices anew.

Change: the wait is kept by the push that cleared the line. A proxy that got it owes an answer; the slice is free once the last one has answered, or its lease has ended, and `lingers` more have passed. Proxies that had answered, or joined since, owe nothing. One that is told as joined within 100 ms of a push may have joined before it, and owes one too. A slice given without a line now waits for the lease as well: proxies of its former controller go by its last line for so long. An answer no longer goes through all slices.

--- a/fuzz/faults.py
+++ b/fuzz/faults.py
@@ -71,7 +71,7 @@
     Fault("drain_overlooked", "rules.py", 'CLOSED if server.state != "ready" and', 'CLOSED if server.state == "gone" and', "days"),
     Fault("cold_taken_for_warm", "rules.py", "warmth = min(1.0, self.cold_from + (1 - self.cold_from) * max(0.0, grown))",
           "warmth = 1.0", "days"),
-    Fault("owner_too_early", "rules.py", "self.parted_at + self.lease) < self.lingers:", "self.parted_at) < self.lingers:", "days"),
+    Fault("owner_too_early", "rules.py", "push.settle(event.proxy, self.now + self.lease)", "push.settle(event.proxy, self.now)", "days"),
     Fault("set_order_decides", "rules.py", "for piece in sorted(lost, key=lambda p: -p.demand):",
           "for piece in sorted(set(lost), key=lambda p: hash(str(p.id))):", "same"),
     Fault("bound_gone", "config.py", "channel_rate=figure(family, \"channelRate\", 1e9, 1e-3, MANY)",
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -29,6 +29,7 @@
 FILL_REPORTS, FILL_REST = 2, 8000.0  # reports that a gap must hold; a slice's rest after a move
 FULL, CROWDED, GAP = 1.25, 1.5, 1.6  # of its fair part: a receiver's; a giver's; latency against the median
 ASK_AGAIN = 3000.0    # with sole owners, after which a mark that somebody has not answered is set anew
+CROSSED = 100.0       # a call takes effect within 50 ms: who joined before that may be told as long after it
 SETTLED = 0.75        # of the proxies' traffic must have answered before a slice moves again
 
 CLOSED, ILL, COLD, WARM = range(4)
@@ -124,6 +125,9 @@
     def joined(self, event):
         p = event.proxy
         p.joined, p.rate, p.zone, p.answered, p.bound = True, event.rate, event.zone, 0, False
+        for push in self.pushes if self.one_owner else ():
+            if self.now - push.at <= CROSSED:
+                push.add(p)
         self.urgent, self.rejoined = self.urgent or not self.sliced, True
 
     def recall(self):
@@ -136,19 +140,19 @@
     def parted(self, event):
         event.proxy.joined, event.proxy.answered, self.parted_at = False, 0, self.now
         for push in self.pushes:
-            push.waits.discard(event.proxy)
+            push.settle(event.proxy, self.now + self.lease)
 
     def custody(self, event):
         piece = event.slice
         piece.given_at = piece.given_at if piece.held else self.now
         # Without a line in the store, the owner before us may have been taken off it just now.
         piece.held, piece.present, piece.wanted, piece.push = event.given, {}, {}, None
-        piece.freed_at, piece.freed_push = self.now, 0
+        piece.cleared = Push(0, 0, set(), self.now, max(self.now, self.parted_at + self.lease))
         self.urgent = True
 
     def stored(self, event):
         event.slice.present[event.server] = event.slice.wanted[event.server] = event.weight
-        event.slice.freed_at = None
+        event.slice.cleared = None
         # Spares in the store at the start were laid by one before us, who may have left servers shut.
         for server in event.slice.present if self.serial == 0 and len(event.slice.present) > 1 else ():
             server.doubt = True
@@ -188,13 +192,10 @@
     def caught_up(self, event):
         p = event.proxy
         met = [push.serial for push in self.pushes if push.serial % 65536 == event.mark and p in push.waits]
-        before, p.answered = p.answered, max([p.answered] + met)
-        for piece in self.slices if self.one_owner else ():
-            if piece.freed_at is not None and before < piece.freed_push <= p.answered:
-                piece.freed_at = self.now  # so far this proxy may have written to the owner before
+        p.answered = max([p.answered] + met)
         for push in self.pushes:
             if push.serial <= p.answered:
-                push.waits.discard(p)
+                push.settle(p, self.now)
 
     def reached(self, event):
         # What cannot leave would pile up unseen and then overfill the channel, which has not emptied either.
@@ -508,6 +509,7 @@
         pressed = early or any(self.pressing(p)[0] <= CLOSED for p in changed)
         if (room if pressed else easy) < min(self.head, 1 + len(changed)) or early and not changed:
             return []  # a full channel is not spent on the heads of messages that bring a line each
+        push = Push(self.serial + 1, 0, set(joined), self.now, max(self.now, self.parted_at + self.lease))
         orders = []
         if joined and (levels := self.tries()) != self.levels and easy > len(levels):
             orders += [level for level in levels if level not in self.levels]
@@ -520,9 +522,8 @@
                 if lines and len(orders) + len(lines) <= (room if self.pressing(piece)[0] <= ILL else easy):
                     orders += lines
                     piece.present = left
-                    piece.push = self.serial + 1
-                    # Not by `push`: a new choice of its next owner forgets that one.
-                    piece.freed_at, piece.freed_push = (self.now, piece.push) if not left else (None, 0)
+                    # A new choice of its next owner forgets `push`, but not which one cleared its line.
+                    piece.push, piece.cleared = push.serial, None if left else push
         for p in () if self.sliced else joined:
             if not p.bound and len(orders) + 2 + sum(len(t.wanted) for t in self.slices) <= easy:
                 p.bound = True
@@ -535,10 +536,9 @@
         silent = any(p.answered < self.serial and p not in asked for p in joined)
         if not orders and not silent:
             return []
-        self.serial += 1
-        each = len(orders) + 1 + self.head + len(self.levels)
-        self.pushes.append(Push(self.serial, each, set(joined), self.now))
-        self.queued += each * len(joined)
+        self.serial, push.each = push.serial, len(orders) + 1 + self.head + len(self.levels)
+        self.pushes.append(push)
+        self.queued += push.each * len(joined)
         self.soon, self.next_push = self.now + self.early, self.next_push if early else self.now + self.gap
         return orders + [core.Mark(self.serial % 65536, silent)]
 
@@ -587,11 +587,10 @@
             return [], piece.present  # a sole owner's line, just set, was cleared by the push's second look
         if self.one_owner and piece.present:
             return [core.Clear(piece)], {}
-        # A sole owner's writes must have ended everywhere before the next owner's begin: all proxies have let
-        # go of it, those that lost their stream by their lease, and what they had in hand has ended.
-        if self.one_owner and piece.freed_at is not None:
-            waits = any(push.waits for push in self.pushes if push.serial <= piece.freed_push)
-            if waits or self.now - max(piece.freed_at, self.parted_at + self.lease) < self.lingers:
+        # A sole owner's writes must have ended everywhere before the next owner's begin: each proxy that had
+        # its line has answered the push that cleared it, or its lease has ended, and what it had in hand has.
+        if self.one_owner and (push := piece.cleared):
+            if push.waits or self.now - max(push.settled_at, piece.given_at + self.lease) < self.lingers:
                 return [], {}
         # Out of a server that must go comes only the new owner's line, for one more shuts it; spares wait. So
         # do those of slices with no line left: taken over by the dozen, they kept a withdrawal past its
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -88,9 +88,25 @@
 
 
 class Push:
-    def __init__(self, serial, each, waits, at):
-        self.serial, self.each, self.at = serial, each, at  # each: lines a proxy, with heads
-        self.waits, self.count = waits, len(waits)          # proxies that have not answered
+    """One push and the proxies that have yet to answer it. Times are ms.
+
+    `each`: lines a proxy, with heads; `waits`: the proxies that have not answered. `settled_at`: until then some proxy
+    may have gone by what it held before: the last one's answer, or the end of the lease of one whose stream broke."""
+
+    def __init__(self, serial, each, waits, at, settled_at):
+        self.serial, self.each, self.at, self.settled_at = serial, each, at, settled_at
+        self.waits, self.count = waits, len(waits)
+
+    def add(self, proxy):
+        """A proxy that may have got it too."""
+        self.count += proxy not in self.waits
+        self.waits.add(proxy)
+
+    def settle(self, proxy, at):
+        """From `at` on this proxy goes by what was pushed, or by nothing; no effect on one that owes no answer."""
+        if proxy in self.waits:
+            self.waits.discard(proxy)
+            self.settled_at = max(self.settled_at, at)
 
 
 class Server:
@@ -125,7 +141,7 @@
         self.present, self.wanted = {}, {}
         self.heat = Tally(classes)
         self.demand, self.moved_at, self.push = None, -1e9, None
-        self.freed_at, self.freed_push = None, 0   # sole owners: since when, and by which push, it has no line
+        self.cleared = None  # sole owners: the push that took its line out, while it has none
 
     def halve(self):
         self.heat.halve()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -68,7 +68,7 @@
 def test_queue_is_known_by_answers_and_by_the_slowest_pace(after, answered, most):
     c = controller()
     proxies = join(c, 2)
-    c.pushes.append(Push(1, 100.0, set(proxies), c.now))
+    c.pushes.append(Push(1, 100.0, set(proxies), c.now, c.now))
     c.queued, c.queued_at, c.serial = 5000.0, c.now, 1
     c.now += after
     if answered:
--- /dev/null
+++ b/tests/test_sole_owner.py
@@ -0,0 +1,130 @@
+"""Slices with one owner at a time: when the next owner's line may follow the push that cleared the former one's."""
+import pytest
+from helpers import controller, fleet, join, lines, slices
+
+from havendyke import interface as core
+from havendyke import rules
+
+LEASE, LINGERS = 1500.0, 4000.0
+
+
+def cleared(proxies):
+    """A controller that has just cleared a slice's line, for its next owner; the push has the mark 1."""
+    c = controller(one_owner=True, lease=LEASE, lingers=LINGERS, ask_within=0.0)
+    former, following = fleet(c, 2)
+    piece, = slices(c, [former])
+    piece.given_at = c.parted_at = -1e9
+    joined = join(c, proxies)
+    piece.wanted = {following: 1.0}
+    assert core.Clear(piece) in c.emit()
+    return c, following, joined
+
+
+def answer(c, proxies):
+    for proxy in proxies:
+        c.caught_up(core.Answered(proxy, 1, 300.0))
+
+
+def waited(c, following, most=20_000.0, then=lambda: None):
+    """How long until the next owner's line goes out; `then` happens at each of the looks between."""
+    begun = c.now
+    while c.now - begun <= most:
+        if [o.server for o in lines(c.emit())] == [following]:
+            return c.now - begun
+        then()
+        c.now += 100.0
+    return None
+
+
+def test_proxies_that_part_after_their_answer_do_not_delay_the_next_owner():
+    # One time of the last parting held for all slices: 346 of 1,744 proxies restarted in turn, and each that parted
+    # began the wait of all slices anew: 94 slices of 258 stood bare for 17 s (suva-head-office, zone+mass, seed 4).
+    c, following, proxies = cleared(8)
+    answer(c, proxies)
+    restarting = iter(proxies)
+
+    def restart():
+        proxy = next(restarting, None)
+        if proxy:
+            c.parted(core.Parted(proxy))
+
+    assert waited(c, following, then=restart) == LINGERS
+
+
+def test_proxies_that_join_after_the_push_and_part_again_do_not_delay_the_next_owner():
+    c, following, proxies = cleared(2)
+    answer(c, proxies)
+    c.now += 1000.0
+    late = c.proxy(7)
+    c.joined(core.Joined(late, 0, 5.0, True))
+    c.now += 1000.0
+    c.parted(core.Parted(late))
+    assert waited(c, following) == LINGERS - 2000.0
+
+
+@pytest.mark.parametrize("after", [0.0, 700.0, 2500.0])
+def test_a_proxy_that_owes_an_answer_and_parts_is_waited_for_until_its_lease_ends(after):
+    c, following, proxies = cleared(3)
+    answer(c, proxies[1:])
+    c.now += after
+    c.parted(core.Parted(proxies[0]))
+    assert waited(c, following) == LEASE + LINGERS
+
+
+def test_a_proxy_that_parted_before_the_push_is_waited_for_until_its_lease_ends():
+    c = controller(one_owner=True, lease=LEASE, lingers=LINGERS)
+    former, following = fleet(c, 2)
+    piece, = slices(c, [former])
+    piece.given_at = c.parted_at = -1e9
+    proxies = join(c, 2)
+    c.parted(core.Parted(proxies[0]))
+    c.now += 500.0
+    piece.wanted = {following: 1.0}
+    assert core.Clear(piece) in c.emit()
+    answer(c, proxies[1:])
+    assert waited(c, following) == LEASE - 500.0 + LINGERS
+
+
+def test_a_silent_proxy_is_waited_for_without_end():
+    c, following, proxies = cleared(3)
+    answer(c, proxies[1:])
+    assert waited(c, following) is None
+
+
+@pytest.mark.parametrize("told_after, waits", [(rules.CROSSED, True), (rules.CROSSED + 1.0, False)])
+def test_a_proxy_whose_joining_crosses_the_push_owes_an_answer(told_after, waits):
+    # It joined before the relay had the push, and read the former owner's line from the store; that was told later.
+    c, following, proxies = cleared(2)
+    answer(c, proxies)
+    c.now += told_after
+    late = c.proxy(7)
+    c.joined(core.Joined(late, 0, 5.0, True))
+    c.now += LINGERS - told_after
+    assert bool(lines(c.emit())) != waits
+    if waits:
+        answer(c, [late])
+        assert waited(c, following) == LINGERS
+
+
+def test_a_slice_given_without_a_line_waits_for_the_former_controllers_proxies():
+    # They go by its last line for their lease, from when the slice changed hands.
+    c = controller(one_owner=True, lease=LEASE, lingers=LINGERS)
+    _, following = fleet(c, 2)
+    join(c, 2)
+    c.parted_at = -1e9
+    piece = c.slice(0)
+    c.custody(core.Custody(piece, True))
+    piece.wanted = {following: 1.0}
+    assert waited(c, following) == LEASE + LINGERS
+
+
+def test_an_answer_costs_by_the_pushes_that_wait_and_not_by_the_slices():
+    c, _, proxies = cleared(3)
+
+    class Untouched(list):
+        def __iter__(self):
+            raise AssertionError("an answer went through all slices")
+
+    c.slices = Untouched(c.slices)
+    answer(c, proxies)
+    assert not any(push.waits for push in c.pushes)
