Tests: a drawn change of settings is written into a copy of the drawn value

Cause: the strategy's lists and objects are shared by all examples, and changed() wrote later changes into them; a path through a number put a number as a key into an object, which no JSON text has, so that test_odd_settings_get_a_default_or_one_line could end in "Dict key must be str". Change: each change takes its own copy of the value; a number becomes a string key of an object.

--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -48,17 +48,24 @@
 CHANGES = st.lists(st.tuples(st.sampled_from(sorted(paths(FULL), key=str)), ODD), min_size=1, max_size=6)
 
 
+def key_in(place, word):
+    """The word of a path as a key of this place: JSON knows no numbers as keys of an object."""
+    return str(word) if isinstance(place, dict) else word
+
+
 def changed(changes):
+    """FULL with the changes, which share nothing with it or with what was drawn: other examples get the same values."""
     made = copy.deepcopy(FULL)
     for path, value in changes:
         place = made
         try:
             for word in path[:-1]:
-                place = place[word]
+                place = place[key_in(place, word)]
+            last = key_in(place, path[-1])
             if value is GONE:
-                del place[path[-1]]
+                del place[last]
             else:
-                place[path[-1]] = value
+                place[last] = copy.deepcopy(value)
         except (KeyError, IndexError, TypeError):
             continue  # an earlier change has taken its place away
     return made
@@ -94,6 +101,26 @@
     assert said is None or "\n" not in said and len(said) < 400
 
 
+def test_a_change_to_one_example_is_not_seen_in_the_next():
+    shared_object, shared_list = {}, [[]]
+    changes = [(("kinds",), shared_object), (("kinds", 0), "m1"),
+               (("localities",), shared_list), (("localities", 0), "a"), (("requestClasses", 0), shared_object),
+               (("requestClasses", 0, "name"), "read")]
+    first, untouched = changed(changes), copy.deepcopy(FULL)
+    assert (shared_object, shared_list) == ({}, [[]])
+    assert first["requestClasses"][0] == {"name": "read"} and "name" not in first["kinds"]
+    assert changed(changes[:1])["kinds"] == {} and changed(changes) == first
+    assert changed([]) == FULL == untouched
+
+
+@pytest.mark.parametrize("value", [{}, {"x": 1}])
+def test_a_number_in_a_path_names_a_key_of_an_object_as_json_has_it(value):
+    keyed = changed([(("kinds",), value), (("kinds", 0), {}), (("kinds", 0, "x"), 5)])
+    assert keyed["kinds"] == value | {"0": {"x": 5}} and orjson.loads(orjson.dumps(keyed)) == keyed
+    dropped = changed([(("kinds",), value), (("kinds", 0), 1), (("kinds", 0), GONE), (("kinds", 1), GONE)])
+    assert dropped["kinds"] == value
+
+
 @pytest.mark.parametrize("path", sorted(paths(FULL), key=str), ids=lambda path: ".".join(map(str, path)))
 def test_each_key_left_out_or_of_no_meaning_is_named_or_has_a_default(path):
     for value in (GONE, None, 0, -1, 1e30, "odd", [], {}):
