--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -1,5 +1,6 @@
 """`python -m fuzz`: the tools round the targets. Bad input is one line on standard error, status 2."""
 import json
+import secrets
 import sys
 import time
 from pathlib import Path
@@ -46,13 +47,14 @@
 @click.argument("names", nargs=-1)
 @click.option("--seconds", type=click.IntRange(1, 100_000), default=60, help="For each target.")
 @click.option("--jobs", type=click.IntRange(1, 64), default=1, help="Targets at a time.")
-@click.option("--seed", type=click.IntRange(0, 2 ** 31), default=1)
+@click.option("--seed", type=click.IntRange(0, 2 ** 31), default=lambda: secrets.randbelow(2 ** 31),
+              help="Of the first target, one more for each further one; a fresh one where none is given.")
 @click.option("--engine", "by", type=click.Choice(["atheris", "hypothesis"]), help="In place of the target's own.")
 def run(names, seconds, jobs, seed, by):
     """Fuzz targets, all where none is named. Status 1 where something was found."""
     def tell(told):
         click.echo(f"{told['target']:14} {told['executions']:9} executions in {told['seconds']:.0f} s, {told['new']} new, "
-                   f"quiet for {told['quiet']:.0f} s, {len(told['findings'])} findings"
+                   f"quiet for {told['quiet']:.0f} s, {len(told['findings'])} findings, seed {told['seed']}"
                    + (f"; {told['error']}" if "error" in told else ""))
 
     targets = chosen(names)
--- a/tests/fuzz/test_replay.py
+++ b/tests/fuzz/test_replay.py
@@ -4,8 +4,10 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
-from fuzz import cases, minimise, registry
+from fuzz import __main__ as program
+from fuzz import cases, engine, minimise, registry
 
 ROOT = Path(__file__).parents[2]
 NAMES = sorted(registry.load())
@@ -33,6 +35,26 @@
     assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
 
 
+def test_a_run_without_a_seed_takes_a_fresh_one_and_tells_it(monkeypatch):
+    def searched(*words):
+        seeds = []
+
+        def run(targets, seconds, jobs, seed, engine_name, tell):
+            seeds.append(seed)
+            made = {"target": "resp", "executions": 1, "seconds": 1.0, "new": 0, "quiet": 0.0, "findings": [], "seed": seed}
+            tell(made)
+            return [made]
+
+        monkeypatch.setattr(engine, "run", run)
+        monkeypatch.setattr(engine, "found", lambda target: [])
+        done = CliRunner().invoke(program.run, ["resp", *words])
+        assert done.exit_code == 0 and f"seed {seeds[0]}" in done.output
+        return seeds[0]
+
+    assert searched("--seed", "5") == 5
+    assert len({searched() for _ in range(4)}) > 1
+
+
 def broken(data):
     if b"\x07" in data[:9]:
         raise ZeroDivisionError("drawn")
