--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -33,8 +33,8 @@
 
 
 def listed(uid: str) -> dict:
-    return {"uid": uid, "endpoint": f"127.0.0.9:{1000 + int(uid[1:])}", "az": "a", "model": "m", "pod_group": 0, "state": "in_service",
-            "capacity_hint": 1.0, "boot_ms": 0}
+    return {"uid": uid, "endpoint": f"127.0.0.9:{1000 + int(uid[1:])}", "az": "a", "model": "m", "pod_group": 0,
+            "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
 
 
 def start(age: float | None, servers: int = 10) -> dict:
--- a/fuzz/record.py
+++ b/fuzz/record.py
@@ -62,7 +62,8 @@
     told = [t for t in told if t["target"] not in unknown]
     total = sum(t["seconds"] for t in told)
     lines = ["# How long each target ran", "",
-             "Written by `python -m fuzz record` from `runs.jsonl`, a line for each run. \"New\" is edges (atheris) or steps from",
+             "Written by `python -m fuzz record` from `runs.jsonl`, a line for each run. "
+             "\"New\" is edges (atheris) or steps from",
              "line to line (hypothesis) that the run reached beyond the kept inputs; \"quiet\" is how long the last runs went on",
              "without a finding. A run that found something is followed by its cure in `FINDINGS.md`.", "",
              *table(told), "", f"In all {len(told)} runs, {total / 60:.0f} minutes of one process."]
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -69,7 +69,8 @@
             zones=3, slices=self.piece_count, one_owner=one_owner, lease=1000.0 if one_owner else 0.0,
             lingers=800.0 if one_owner else 0.0, queue_limit=limit, channel_rate=limit / 1.2, overhead=head,
             push_delay=self.delay, report_period=1000.0, cold=12_000.0, cold_from=draw.choice((0.2, 0.1)),
-            overload=draw.choice((3.0, 1.5)), probes=bool(flags & 32), levels=("share", "none")[flags >> 6 & 1], sized=bool(flags & 128))
+            overload=draw.choice((3.0, 1.5)), probes=bool(flags & 32), levels=("share", "none")[flags >> 6 & 1],
+            sized=bool(flags & 128))
         self.door = Door(self.settings, seed)
         self.now, self.plane = 100_000.0, Plane(self.settings, self.chance.draw)
         self.plane.now = self.now
@@ -345,7 +346,8 @@
              for k in range(len(Day.STEPS))]
     release = bytes([1, 1, 2, 32, 1, 1, 0, 0, 0]) + bytes([0xf1, 0, 3, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0, 0xf2, 0, 0, 30]) * 4
     # A sole owner's proxy is away while its slices change hands; both bits of the channel and of the cold.
-    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0, 0, 0]) + bytes([4, 0, 100, 0, 1, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0]) for k in (0, 128)]
+    sole = [bytes([0, 0, 0, 55 | k, 0, 0, 0, 0, 0]) + bytes([4, 0, 100, 0, 1, 0, 0, 0, 0xf0, 0, 0, 0, 0xf0, 0, 0, 0])
+            for k in (0, 128)]
     full = [bytes([5, 2, 3, 128, 0, 0, 3, 1, k]) + release[HEAD:] for k in (0, 1)]
     return plain + alone + [release] + sole + full
 
--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -67,7 +67,8 @@
         ended = [c for c in self.assigner.collectors.callers if c.connection.over]
         hold(not ended, len(ended), "callers hold a place though they have ended")
         slots, deadlines = len(self.hub.slots), sum(d.call is not None for d in self.hub.deadlines.heap)
-        hold(slots <= SLOTS + len(self.assigner.door.servers), slots, "slots in use at rest:", [c.peer.name for c in self.hub.slots])
+        hold(slots <= SLOTS + len(self.assigner.door.servers), slots, "slots in use at rest:",
+             [c.peer.name for c in self.hub.slots])
         hold(deadlines <= DEADLINES, deadlines, "deadlines at rest")
         hold(self.assigner.discovery.version == self.registry.version, "the list is of version",
              self.assigner.discovery.version, "not", self.registry.version)
@@ -341,7 +342,7 @@
         assigner.door.controller.turn = turn
 
     play_ = Play((Play.wait,), before)
-    assigner, hub = play_.assigner, play_.hub
+    assigner = play_.assigner
     server = assigner.door.server("s1")
     while not draw.over:
         kind, number = draw.below(4), draw.byte() % 6
--- a/fuzz/targets/recovery.py
+++ b/fuzz/targets/recovery.py
@@ -161,9 +161,10 @@
 @register(name="operator", about="the operator's file as text: read, or refused in one line with its place", most=300,
           covers=("settings/reader", "settings/schema"),
           words=(b"[state]\n", b"folder /x\n", b"gather 5ms\n", b"include ", b"#", b'"', b"\r\n", b"log-most 8MB\n", b"yes"),
-          seeds=lambda: [b"[state]\nfolder /x\n", b"[state]\nfolder \"/a b\"\ngather 20ms # x\nlog-most 64MB\n", b"", b"include main",
-                         b"[state]\npending 99\n", b"[x]\n", b"folder", b"[state]\nfolder /x /y\n", b"\xff", b"[state]\nfolder x\n",
-                         b"[state]\r\nfolder /x\r\nagain 0.5s", b"include include\n", b"[state]\nfolder /x\nagain 1d\n"])
+          seeds=lambda: [b"[state]\nfolder /x\n", b"[state]\nfolder \"/a b\"\ngather 20ms # x\nlog-most 64MB\n", b"",
+                         b"include main", b"[state]\npending 99\n", b"[x]\n", b"folder", b"[state]\nfolder /x /y\n", b"\xff",
+                         b"[state]\nfolder x\n", b"[state]\r\nfolder /x\r\nagain 0.5s",
+                         b"include include\n", b"[state]\nfolder /x\nagain 1d\n"])
 def operator(data):
     def load(path):
         hold(path.startswith("/"), "looked at", path)
--- a/fuzz/targets/values.py
+++ b/fuzz/targets/values.py
@@ -8,8 +8,8 @@
 from havendyke.fields import FieldError
 from havendyke.net.messages import number as fast_number
 from havendyke.net.messages import read_load, whole
-from havendyke.net.resp import encode
 from havendyke.net.probes import Probe
+from havendyke.net.resp import encode
 
 from .. import reference
 from ..draw import Draw
@@ -121,7 +121,8 @@
 
 
 @register(name="figures", about="numbers and load reports as texts, against a strict reader",
-          covers=("net/messages",), most=120, words=(b"inflight", b":", b"=", b",", b"TEXT ", b"util", b"1e", b"_", b"nan", b"inf"),
+          covers=("net/messages",), most=120,
+          words=(b"inflight", b":", b"=", b",", b"TEXT ", b"util", b"1e", b"_", b"nan", b"inf"),
           seeds=lambda: [b"1.5", b"1_0", b" 7", b"-0", b"1e400", b"nan", "\u0661".encode(), b"inflight:7,util:0.61",
                          b"TEXT inflight=7, queue=2, util=1_0", b"util=:1", b"9" * 100, b".", b"5.", b"+3", b"1e5"])
 def figures(data):
--- a/fuzz/targets/xds.py
+++ b/fuzz/targets/xds.py
@@ -2,7 +2,6 @@
 from havendyke.xds.resources import CLUSTER, ENDPOINTS, ORDER, ROUTES, Snapshot, resource
 from havendyke.xds.stream import Answered, Ask, BadRequest, Stream
 
-from ..draw import Draw
 from ..registry import hold, register
 
 NAMES = "abcd"
--- a/havendyke/__main__.py
+++ b/havendyke/__main__.py
@@ -11,7 +11,6 @@
 from .net.hub import Hub
 from .net.log import Log, counted, unblocked
 
-
 COMMANDS = ("run", "check", "events", "settings", "state")
 
 
--- a/havendyke/cli/state.py
+++ b/havendyke/cli/state.py
@@ -66,7 +66,8 @@
     _, told = found(folder)
     bad = [line for line in told.said if not line.startswith("goes by")]
     tell({"folder": folder, "generation": told.generation, "damage": bad, **numbers(told.kept)}, as_json,
-         lambda m: "\n".join(m["damage"] or [f"well: generation {m['generation']}, {m['servers']} servers, {m['slices']} slices"]))
+         lambda m: "\n".join(m["damage"] or [f"well: generation {m['generation']}, {m['servers']} servers, "
+                                             f"{m['slices']} slices"]))
     raise click.exceptions.Exit(1 if bad else 0)
 
 
--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -8,10 +8,12 @@
     "listen_failed": (("cause",), "the address is taken or not there; tried again"),
     "reloaded": (("relay", "discovery", "after_restart"), "SIGHUP was carried out; what waits for a start is named"),
     "reload_refused": (("cause",), "SIGHUP changed nothing: a file is wrong"),
-    "view": (("servers", "shut", "cold", "slices", "bare", "unlaid", "moved", "most", "fleet", "slow", "level", "queue", "heard_ms"),
+    "view": (("servers", "shut", "cold", "slices", "bare", "unlaid", "moved", "most", "fleet", "slow", "level", "queue",
+              "heard_ms"),
              "once a second: servers by grade, cold ones in use, slices by their owner's grade, without a line that works, "
              "not laid as wanted, moved since the last line by their giver's grade; the fullest server's part; what the "
-             "fleet is taken for; servers slow by quoted times, by grade; what of the channel's limit waits at most, by its slowest pace; since when the middle server was not heard well"),
+             "fleet is taken for; servers slow by quoted times, by grade; what of the channel's limit waits at most, by its "
+             "slowest pace; since when the middle server was not heard well"),
     "push": (("orders", "mark"), "orders for the relay, with the mark that asks for answers"),
     "relay_away": (("why", "waiting"), "nothing leaves: the relay, or the end of a call, is not known"),
     "relay_back": (("after",), "orders leave again"),
--- a/havendyke/net/news.py
+++ b/havendyke/net/news.py
@@ -5,7 +5,6 @@
 from .lines import Lines, value
 from .messages import call
 
-
 MARKS = 65536  # marks are numbered up to here, then anew
 STEP = 0.001   # a row shows shares in such steps
 SHOWN = 1e-9   # for a line whose share a row has rounded to nothing: it is there, however small
--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -7,8 +7,7 @@
 from math import exp, log, log2
 
 from . import interface as core
-from .state import (
-    Chance, Fleet, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, turned, users_of)
+from .state import Chance, Fleet, Proxy, Push, Server, Slice, Tally, added, answered_by, hashed, middle_of, turned, users_of
 
 SLOWEST, URGENT = 8.0, 0.26  # times slower the channel may be; of half its limit, on top of it for drains
 TICK, PROBE_EVERY, PUSH_GAP = 250.0, 500.0, 1000.0  # looks without news; the design's one push a second
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,9 +1,8 @@
 """Builds the state a test needs, without the bench."""
 import orjson
 
-from havendyke import config
+from havendyke import config, rules
 from havendyke import interface as core
-from havendyke import rules
 from havendyke.lab import hub as lab
 from havendyke.lab.hub import LabHub as FakeHub
 from havendyke.lab.hub import Transport  # noqa: F401  for the tests
--- a/tests/recovery/test_starts.py
+++ b/tests/recovery/test_starts.py
@@ -18,7 +18,8 @@
 
 class Lived(Life):
     def __init__(self):
-        super().__init__(raw_config(settings=SETTINGS | COLDNESS), {n: listed(n, endpoint=f"127.0.0.9:{1000 + k}") for k, n in enumerate(NAMES)})
+        super().__init__(raw_config(settings=SETTINGS | COLDNESS),
+                         {n: listed(n, endpoint=f"127.0.0.9:{1000 + k}") for k, n in enumerate(NAMES)})
 
     def grades(self):
         return {s.id: s.grade for s in self.world.assigner.door.controller.servers}
--- a/tests/settings/test_reader.py
+++ b/tests/settings/test_reader.py
@@ -34,7 +34,8 @@
     ("[state]\nfolder /x\ngather 5h\n", "3:1", "0ms to 10s"), ("[state]\nfolder /x\ngather -5ms\n", "3:1", "a time"),
     ("[state]\nfolder /x\nlog-most 5ms\n", "3:1", "units B, kB"), ("[state]\nfolder /x\npending many\n", "3:1", "whole number"),
     ("[state]\nfolder /x /y\n", "2:1", "one value, not 2"), ("[state]\nfolder /x\nfolder /y\n", "3:1", "given before"),
-    ("[state\n", "1:", "cannot read"), ("[state]\nfolder\n", "2:", "cannot read"), ("[state]\n= 5\n", "2:1", "no key|cannot read"),
+    ("[state\n", "1:", "cannot read"), ("[state]\nfolder\n", "2:", "cannot read"),
+    ("[state]\n= 5\n", "2:1", "no key|cannot read"),
     ("[state]\nfolder \"/x\n", "2:", "cannot read"), ("Folder /x\n", "1:", "cannot read")])
 def test_what_is_wrong_is_told_with_its_place(tmp_path, text, at, said):
     with pytest.raises(reader.BadSettings) as error:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,14 +3,14 @@
 import time
 
 import pytest
-from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE, answer, feed, front, line, listed, quiet, sent, standing, told
-from helpers import whole_list
+from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE, answer, feed, front, line, listed, quiet, sent, standing, told, whole_list
 
 from havendyke import interface as core
 from havendyke.config import Limits
 from havendyke.net.hub import Connection, Hub
 from havendyke.net.resp import encode
 
+
 def under_way(hub, assigner, *orders):
     assigner.relay.order(list(orders))
     return hub.open("relay")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -6,8 +6,26 @@
 import sys
 
 import pytest
-from helpers import Transport, answer, feed, front, line, listed, quiet, raw_config, sent, standing, told, whole_list
-from helpers import ACK, GRANT, LEFT, ROW, SUB, TRUE
+from helpers import (
+    ACK,
+    GRANT,
+    LEFT,
+    ROW,
+    SUB,
+    TRUE,
+    Transport,
+    answer,
+    feed,
+    front,
+    line,
+    listed,
+    quiet,
+    raw_config,
+    sent,
+    standing,
+    told,
+    whole_list,
+)
 
 from havendyke import config
 from havendyke import interface as core
