--- a/havendyke/cli/main.py
+++ b/havendyke/cli/main.py
@@ -9,10 +9,7 @@
 import click
 import orjson
 
-COMMANDS = {"check": "the configuration and the operator's file, without a start",
-            "events": "what the lines of the log mean",
-            "settings": "the operator's file: show, explain, page", "state": "what is kept on disk: show, verify, compact, "
-            "export, import, diff"}
+from ..commands import COMMANDS, RUN, RUN_SUMMARY
 
 
 class Wrong(Exception):
@@ -21,10 +18,10 @@
 
 class Commands(click.Group):
     def list_commands(self, context):
-        return ["run", *COMMANDS]
+        return [RUN, *COMMANDS]
 
     def get_command(self, context, name):
-        if name == "run":
+        if name == RUN:
             return run
         if name not in COMMANDS:
             return None
@@ -32,7 +29,7 @@
 
     def format_commands(self, context, formatter):
         with formatter.section("Commands"):
-            formatter.write_dl([("run", "the assigner itself; what the program does without a command"), *COMMANDS.items()])
+            formatter.write_dl([(RUN, RUN_SUMMARY), *COMMANDS.items()])
 
 
 @click.group(cls=Commands, invoke_without_command=False)
@@ -44,7 +41,7 @@
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
 def run(words):
     """The assigner itself."""
-    from ..__main__ import main
+    from ..start import main
     sys.exit(main(list(words)))
 
 
--- a/havendyke/lab/peers.py
+++ b/havendyke/lab/peers.py
@@ -43,6 +43,7 @@
         if self.held is not None:
             self.held.append(data)
         elif not self.silent and not self.connection.over:
+            self.world.said(self.connection, data)
             feed(self.connection, data)
 
     def drip(self, wait: float):
@@ -263,12 +264,15 @@
 
 
 class World:
-    """One assigner and everybody round it. `make(hub)` gives the assigner; `reachable(address)` says who is there."""
+    """One assigner and everybody round it. `make(hub)` gives the assigner."""
 
-    def __init__(self, make, store: dict, entries: dict, proxies=range(6), **limits):
-        self.deadlines, self.hub = Deadlines(), LabHub(**limits)
+    relay_type, registry_type = Relay, Registry
+
+    def __init__(self, make, store: dict, entries: dict, proxies=range(6), hub=None, **limits):
+        """`hub`: one of the caller's own, in place of a `LabHub` with these limits."""
+        self.deadlines, self.hub = Deadlines(), hub or LabHub(**limits)
         self.hub.dialled = self.dialled
-        self.relay, self.registry = Relay(self, store, proxies), Registry(self, entries)
+        self.relay, self.registry = self.relay_type(self, store, proxies), self.registry_type(self, entries)
         self.probe_answers, self.refused = "well", set()  # ports that refuse
         self.assigner = make(self.hub)
         self.callers = []
@@ -276,6 +280,9 @@
     def after(self, wait, call):
         self.deadlines.add(self.hub.time + wait, call)
 
+    def said(self, connection, data: bytes):
+        """A peer is about to say this on a connection; for those who count."""
+
     def dialled(self, connection):
         name, port = connection.peer.name, connection.address[1]
         kind = {"relay": RelayPeer, "news": RelayPeer, "discovery": RegistryPeer, "probes": ServerPeer}[name]
