--- a/havendyke/cli/lab.py
+++ b/havendyke/cli/lab.py
@@ -102,3 +102,17 @@
         batch.measure_all(into, seed, at_once, guard.machine_limits(seconds, memory_mb), click.echo, only)
     except (size.BadSize, record.BadRecord, guard.Exceeded, workers.WorkerFailed) as error:
         raise Wrong(str(error)) from None
+
+
+@scale.command()
+@click.argument("metric")
+@click.argument("path", type=click.Path(path_type=Path))
+@click.option("--records", type=click.Path(path_type=Path), default=RECORDS, show_default=True)
+def plot(metric, path, records):
+    """Draw METRIC (calm/bytes, release/cpu, memory) along each axis into the new file PATH."""
+    record, drawing = library("record"), library("plot")
+    try:
+        drawing.draw(record.read_all(records), metric, path)
+    except (record.BadRecord, drawing.NoSuchFigure) as error:
+        raise Wrong(str(error)) from None
+    click.echo(path)
--- a/havendyke/lab/scale/course.py
+++ b/havendyke/lab/scale/course.py
@@ -2,8 +2,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from .fleet import CALM_PART, Fleet
+from .fleet import CALM_PART, Fleet, change_some
 from .hollow import HollowAssigner
+from .meter import Yardstick
 from .size import ZONE_NAMES
 
 STEP_MS = 250.0       # the model's own step; assigners run on their deadlines within it
@@ -34,7 +35,7 @@
     def __init__(self, fleet: Fleet, numbers, phases=PHASES, exchange=None):
         self.fleet, self.phases, self.exchange = fleet, phases, exchange or (lambda own: own)
         self.assigners, self.numbers = [], list(numbers)
-        self.fresh, self.fullest, self.measured = set(), 0.0, {}
+        self.fresh, self.fullest, self.measured, self.yardstick = set(), 0.0, {}, Yardstick()
 
     def run(self) -> dict:
         """What was measured, by phase; sums over these assigners."""
@@ -71,7 +72,7 @@
     def second(self, phase: Phase, second: int):
         fleet = self.fleet
         if phase.name == "calm" or phase.name == "peak":
-            self.change_some(second)
+            change_some(fleet, second)
         fleet.load(self.exchange(sum((a.offers() for a in self.assigners), Counter())))
         if self.fresh and fleet.size.hollow == fleet.size.assigners:
             self.fullest = max([self.fullest] + [fleet.fullness(n) for n in self.fresh
@@ -85,11 +86,7 @@
             fleet.now += STEP_MS
             for assigner in self.assigners:
                 assigner.pass_time(STEP_MS)
-
-    def change_some(self, second: int):
-        each = self.fleet.size.changes / 60.0
-        for _ in range(int(each * (second + 1)) - int(each * second)):
-            self.fleet.replace([self.fleet.chance.choice(self.fleet.names)])
+            self.yardstick.lay()
 
     def taken(self, phase: Phase) -> dict:
         """Sums of the phase over these assigners; taken, they begin anew."""
@@ -106,7 +103,7 @@
         made["taken_ms"] = [round(ms, 1) for a in self.assigners for ms in a.relay.taken_ms]
         made["unfinished"] = sum(len(a.relay.waits) for a in self.assigners)
         made["asked"] = dict(sum((a.asked for a in self.assigners), Counter()))
-        made["fullest_fresh"] = round(self.fullest, 3)
+        made["fullest_fresh"], made["yardstick_ms"] = round(self.fullest, 3), self.yardstick.take()
         for a in self.assigners:
             a.hub.log_lines = a.hub.log_bytes = a.relay.orders = 0
             a.relay.taken_ms, a.asked = [], Counter()
--- /dev/null
+++ b/havendyke/lab/scale/fit.py
@@ -0,0 +1,233 @@
+"""Slopes from records: how each figure of an assigner grows along each axis, and what that predicts elsewhere.
+
+A metric is named `phase/kind` (`calm/bytes`, `calm/list/in_bytes`, `release/cpu/judge`, `memory`). Along one axis, the
+others fixed, forms are compared: linear, n log n, square, and inverse (what many share). At another size the axes' effects
+are put together as a sum or as a product, whichever says the `pair` records better; the `held` records are used for nothing
+but the test. A total is the sum of its parts' predictions.
+"""
+from dataclasses import dataclass
+
+import numpy
+
+from ...rules import PROBED
+from .course import RACK
+from .meter import IN, KINDS, OUT
+from .record import BadRecord
+from .size import AXES, Size
+
+FORMS = {"linear": lambda x: x, "n log n": lambda x: x * numpy.log2(numpy.maximum(x, 2.0)), "square": lambda x: x * x,
+         "inverse": lambda x: 1.0 / numpy.maximum(x, 0.1)}
+LEAST_POINTS = 4              # sizes of an axis, below which no curve is drawn
+YARDSTICK_MS = 0.45           # of the plain loop with little else on the machine; processor times are scaled to it
+RESAMPLES, SEED = 400, 20261202
+INTERVAL = (2.5, 97.5)        # percentiles of the resampled slopes
+LINES_A_TABLE = 2             # an owner and a spare
+FLAT = 0.02                   # of the base's value: an axis that moves a metric by less does nothing to it
+WITHIN = 0.25                 # of a held-out value, that a prediction may miss it by
+NEGLIGIBLE = {"bytes": 130.0, "cpu": 0.4, "memory": 1.28, "messages": 1.0}  # 1 % of an assigner's budget: misses below are none
+
+
+# What a mechanism turns on where that is no axis by itself, worked out from the rules; a curve along it stands for its axes'.
+QUESTIONS = "questions a second"    # probes, by the rule that shares PROBED a second among those who ask
+HITS = "own tasks released"         # of a rack, that lines of one assigner name
+REPLACED = "own tasks replaced"     # a second, the same in a calm span
+DERIVED = {QUESTIONS: ("tasks", "assigners", "slices"), HITS: ("tasks", "slices"), REPLACED: ("tasks", "slices", "changes")}
+PUSHED = ("news", "calls", "orders")
+
+
+def place(size: dict, axis: str) -> float:
+    """Where a size lies on an axis."""
+    if axis not in DERIVED:
+        return size[axis]
+    named = LINES_A_TABLE * size["slices"] / size["tasks"]  # lines of one assigner for each task
+    if axis == QUESTIONS:
+        each = PROBED * size["tasks"] / size["assigners"]
+        return each + min(2 * LINES_A_TABLE * size["slices"], each)
+    return named * (min(RACK, size["tasks"] // 5) if axis == HITS else size["changes"] / 60.0)
+
+
+def axes_of(metric: str) -> dict:
+    """The axes of a metric, each with the records' roles that lie on it."""
+    phase, _, rest = metric.partition("/")
+    kind = rest.partition("/")[0]
+    derived = QUESTIONS if kind == "probes" else None
+    if kind in PUSHED:
+        derived = {"release": HITS, "calm": REPLACED, "peak": REPLACED}.get(phase)
+    stands_for = DERIVED.get(derived, ())
+    made = {axis: (axis,) for axis in AXES if axis not in stands_for}
+    return made | ({derived: stands_for} if derived else {})
+
+
+@dataclass(frozen=True)
+class Curve:
+    """One metric along one axis: `intercept + slope * form(x)`."""
+    axis: str
+    form: str
+    slope: float
+    intercept: float
+    residual: float     # root of the mean square, in the metric's unit
+    low: float          # of the slope, by resampling
+    high: float
+    points: int
+
+    def at(self, x: float) -> float:
+        return self.intercept + self.slope * float(FORMS[self.form](numpy.float64(x)))
+
+
+@dataclass(frozen=True)
+class Total:
+    """The sum of other metrics."""
+    metric: str
+    parts: tuple
+    curves: dict
+    combine: str = "sum of parts"
+
+    def predict(self, size: dict) -> float:
+        return sum(part.predict(size) for part in self.parts)
+
+
+@dataclass(frozen=True)
+class Model:
+    """One metric over all axes; `combine` says how effects of several axes go together."""
+    metric: str
+    base: float
+    curves: dict
+    combine: str        # "sum" or "product"
+
+    def predict(self, size: dict) -> float:
+        """The metric at a size: {axis: value}; axes left out are the base's."""
+        origin = Size().described()
+        pairs = [(curve.at(place(origin, axis)), curve.at(place({**origin, **size}, axis))) for axis, curve in self.curves.items()]
+        # The base was measured once; where curves go through it, they know it better together.
+        level = sum(here for here, _ in pairs) / len(pairs) if pairs else self.base
+        if self.combine == "sum":
+            return max(0.0, level + sum(there - here for here, there in pairs))
+        for here, there in pairs:
+            level *= max(0.0, there) / here if here > 0 else 1.0
+        return max(0.0, level)
+
+
+def metrics(record: dict) -> dict:
+    """All figures of one record by metric."""
+    made = {"memory": record["memory_mb"]["assigner"]}
+    for name, phase in record["phases"].items():
+        for unit in ("bytes", "messages"):
+            by_kind = {kind: sum(phase["traffic"][kind][f"{way}_{unit}"] for way in (IN, OUT)) for kind in KINDS}
+            made |= {f"{name}/{kind}/{unit}": value for kind, value in by_kind.items()}
+            made[f"{name}/{unit}"] = sum(by_kind.values())
+        # As if the machine had been as quick as at its quickest: the loop beside the run says how slow it was.
+        slowed = phase["yardstick_ms"] / YARDSTICK_MS
+        made |= {f"{name}/cpu/{activity}": spent / slowed for activity, spent in phase["cpu_ms"].items()}
+        made[f"{name}/cpu"] = sum(phase["cpu_ms"].values()) / slowed
+        made |= {f"{name}/{key}": phase[key] for key in ("orders", "log_bytes", "log_lines", "turns")}
+        made[f"{name}/calls/sent"] = phase["traffic"]["calls"]["out_messages"]
+    return made
+
+
+def solved(x, y) -> tuple:
+    """Least squares: slope, intercept, root of the mean square residual."""
+    spread = x - x.mean()
+    slope = float((spread * (y - y.mean())).sum() / (spread * spread).sum())
+    intercept = float(y.mean() - slope * x.mean())
+    return slope, intercept, float(numpy.sqrt(((y - intercept - slope * x) ** 2).mean()))
+
+
+def fitted(axis: str, xs, ys) -> Curve:
+    """The best of the forms, its slope's interval by resampling the residuals."""
+    x, y = numpy.array(xs, float), numpy.array(ys, float)
+    forms = FORMS if axis not in DERIVED else {"linear"}
+    form = min(forms, key=lambda f: left_out(FORMS[f](x), y))
+    shaped = FORMS[form](x)
+    slope, intercept, residual = solved(shaped, y)
+    straight, spread = intercept + slope * shaped, shaped - shaped.mean()
+    errors = (y - straight) * numpy.sqrt(len(x) / max(1, len(x) - 2))
+    drawn = straight + numpy.random.default_rng(SEED).choice(errors, (RESAMPLES, len(x)))
+    slopes = (spread * drawn).sum(axis=1) / (spread * spread).sum()
+    low, high = numpy.percentile(slopes, INTERVAL)
+    return Curve(axis, form, slope, intercept, residual, float(low), float(high), len(x))
+
+
+def left_out(x, y) -> float:
+    """The mean square error at points that the fit did not see, one after the other."""
+    total = 0.0
+    for k in range(len(x)):
+        kept = numpy.arange(len(x)) != k
+        slope, intercept, _ = solved(x[kept], y[kept])
+        total += (y[k] - intercept - slope * x[k]) ** 2
+    return total / len(x)
+
+
+def flat(curve: Curve, xs, base: float) -> bool:
+    """Whether the axis does nothing to the metric, as far as can be told."""
+    moved = abs(curve.at(max(xs)) - curve.at(min(xs)))
+    return moved <= FLAT * abs(base) or curve.low <= 0.0 <= curve.high
+
+
+def curves_of(metric: str, told: list) -> dict:
+    """The curve of each axis that moves the metric; `told` has (record, its metrics)."""
+    base, made = next(values[metric] for record, values in told if record["role"] == "base"), {}
+    for axis, on_it in axes_of(metric).items():
+        points = [(place(record["size"], axis), values.get(metric, 0.0)) for record, values in told
+                  if record["role"] in ("base", *on_it)]
+        if len(points) < LEAST_POINTS:
+            continue
+        xs, ys = zip(*sorted(points))
+        curve = fitted(axis, xs, ys)
+        if not flat(curve, xs, base):
+            made[axis] = curve
+    return made
+
+
+def models(records: list) -> dict:
+    """A model for each metric that the base's record has; a total's is the sum of its parts'."""
+    told = [(record, metrics(record)) for record in records]
+    base = next((values for record, values in told if record["role"] == "base"), None)
+    if base is None:
+        raise BadRecord("no record of the base among these")
+    made = {}
+    for metric, value in base.items():
+        curves = curves_of(metric, told)
+        made[metric] = best([Model(metric, value, curves, how) for how in ("sum", "product")],
+                            [(r["size"], v.get(metric, 0.0)) for r, v in told if r["role"] == "pair"])
+    for metric in base:
+        phase, _, unit = metric.partition("/")
+        if unit in ("bytes", "messages"):
+            parts = [f"{phase}/{kind}/{unit}" for kind in KINDS]
+        elif unit == "cpu":
+            parts = [other for other in base if other.startswith(f"{phase}/cpu/")]
+        else:
+            continue
+        made[metric] = Total(metric, tuple(made[part] for part in parts), made[metric].curves)
+    return made
+
+
+def best(candidates: list, pairs: list) -> Model:
+    return min(candidates, key=lambda m: sum(abs(m.predict(size) - value) / max(value, 1e-9) for size, value in pairs))
+
+
+def negligible(metric: str) -> float:
+    unit = next((u for u in NEGLIGIBLE if u in metric.split("/")), "messages")
+    return NEGLIGIBLE[unit]
+
+
+@dataclass(frozen=True)
+class Check:
+    """One held-out figure beside its prediction."""
+    point: str
+    metric: str
+    measured: float
+    predicted: float
+
+    @property
+    def miss(self) -> float:
+        return (self.predicted - self.measured) / self.measured if self.measured else 0.0
+
+    @property
+    def passed(self) -> bool:
+        return abs(self.predicted - self.measured) <= max(WITHIN * abs(self.measured), negligible(self.metric))
+
+
+def checks(records: list, fitted_models: dict, wanted) -> list:
+    """Each wanted metric at each held-out point."""
+    return [Check(r["point"], metric, metrics(r).get(metric, 0.0), fitted_models[metric].predict(r["size"]))
+            for r in records if r["role"] == "held" for metric in wanted]
--- a/havendyke/lab/scale/fleet.py
+++ b/havendyke/lab/scale/fleet.py
@@ -105,3 +105,10 @@
             for name in names if state == "in_service" else ():
                 self.started[name] = self.now
         return made
+
+
+def change_some(fleet: Fleet, second: int):
+    """The tasks that are replaced in this second, so that a minute has as many as the size says."""
+    each = fleet.size.changes / 60.0
+    for _ in range(int(each * (second + 1)) - int(each * second)):
+        fleet.replace([fleet.chance.choice(fleet.names)])
--- a/havendyke/lab/scale/hollow.py
+++ b/havendyke/lab/scale/hollow.py
@@ -82,6 +82,10 @@
         """The model's time."""
         return self.hub.time - FIRST_MS
 
+    def unix_ms(self) -> float:
+        """Unix time, by the laboratory's clock."""
+        return self.hub.time + UNIX_MS
+
     def measure_turns(self):
         controller, door = self.assigner.door.controller, self.assigner.door
         for method, activity in PARTS.items():
@@ -158,7 +162,7 @@
         """Discovery's agent is told of a change of tasks, and tells the assigner."""
         more = {"state": state}
         if state == "in_service":
-            more["boot_ms"] = int(FIRST_MS + self.now() + UNIX_MS)
+            more["boot_ms"] = int(self.unix_ms())
             self.absent.difference_update(names)
         elif state == "terminated":
             self.absent.update(names)
--- a/havendyke/lab/scale/meter.py
+++ b/havendyke/lab/scale/meter.py
@@ -1,11 +1,14 @@
 """Counts what crosses an assigner's connections, and the processor time that each activity takes."""
 import sys
 from collections import Counter
+from pathlib import Path
 from time import thread_time
 
 IN, OUT = "in", "out"
 KINDS = ("list", "watch", "reports", "probes", "news", "calls")
 LINES = {"news", "calls"}
+PRODUCT = str(Path(__file__).parents[2])
+LABORATORY = str(Path(__file__).parents[1])
 
 
 def kind_of(peer) -> str:
@@ -85,7 +88,7 @@
 
     def called(self, frame, event, argument):
         name = frame.f_code.co_filename
-        if "havendyke" not in name or "/lab/" in name:
+        if not name.startswith(PRODUCT) or name.startswith(LABORATORY):
             return None
         frame.f_trace_opcodes, frame.f_trace_lines = True, False
         return self.executed
@@ -93,3 +96,25 @@
     def executed(self, frame, event, argument):
         self.count += event == "opcode"
         return self.executed
+
+
+class Yardstick:
+    """A plain loop's processor time, taken again and again beside a run: what else the machine does slows both alike."""
+
+    LOOPS = 20_000
+
+    def __init__(self):
+        self.spent, self.times = 0.0, 0
+
+    def lay(self):
+        began, total = thread_time(), 0
+        for number in range(self.LOOPS):
+            total += number & 7
+        self.spent += thread_time() - began
+        self.times += 1
+
+    def take(self) -> float:
+        """The mean time of a loop, ms, since the last call."""
+        made = 1000.0 * self.spent / max(1, self.times)
+        self.spent, self.times = 0.0, 0
+        return made
--- /dev/null
+++ b/havendyke/lab/scale/plot.py
@@ -0,0 +1,41 @@
+"""A picture of one figure along every axis that moves it: what was measured, and the curve."""
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")  # draws into a file, without a screen
+import matplotlib.pyplot as pyplot  # noqa: E402  the choice above must come first
+import numpy  # noqa: E402
+
+from . import fit  # noqa: E402
+
+POINTS = 100  # of a drawn curve
+
+
+class NoSuchFigure(ValueError):
+    """A figure that the records do not have, or a file that cannot be written; one line."""
+
+
+def draw(records: list, metric: str, path: Path):
+    """Draws a metric's curves into a new file."""
+    models = fit.models(records)
+    if metric not in models:
+        raise NoSuchFigure(f"no figure is named '{metric[:60]}'; there are calm/bytes, calm/cpu, release/news/bytes, memory and such")
+    if Path(path).exists():
+        raise NoSuchFigure(f"{path}: there is a file already; nothing was overwritten")
+    curves = models[metric].curves
+    figure, places = pyplot.subplots(1, max(1, len(curves)), squeeze=False, figsize=(4 * max(1, len(curves)), 3.5))
+    for axes, curve in zip(places[0], curves.values()):
+        on_it = ("base", *fit.axes_of(metric).get(curve.axis, (curve.axis,)))
+        points = sorted((fit.place(r["size"], curve.axis), fit.metrics(r)[metric]) for r in records if r["role"] in on_it)
+        xs = numpy.linspace(points[0][0], points[-1][0], POINTS)
+        axes.plot(*zip(*points), "o")
+        axes.plot(xs, [curve.at(x) for x in xs])
+        axes.set(xlabel=curve.axis, title=f"{metric}, {curve.form}")
+    figure.tight_layout()
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as error:
+        raise NoSuchFigure(f"{path}: {error}") from None
+    finally:
+        pyplot.close(figure)
--- a/havendyke/lab/scale/real.py
+++ b/havendyke/lab/scale/real.py
@@ -16,10 +16,10 @@
 import psutil
 
 from ..peers import RegistryPeer, RelayPeer, ServerPeer
-from .fleet import Fleet, settings
+from .fleet import Fleet, change_some, settings
 from .guard import MB, Guard
 from .hollow import WINDOW_MS, HollowAssigner
-from .meter import IN, KINDS, OUT, Meter, messages_in
+from .meter import IN, KINDS, OUT, Meter, Yardstick, messages_in
 from .size import ZONE_NAMES, Size
 from .standins import ScaleRegistry, ScaleRelay
 
@@ -45,11 +45,13 @@
 class RealAssigner:
     """One process and the peers round it. It offers the stand-ins what `lab.peers.World` offers them."""
 
-    report_lines, offers = HollowAssigner.report_lines, HollowAssigner.offers
+    report_lines, offers, report = HollowAssigner.report_lines, HollowAssigner.offers, HollowAssigner.report
+    change = HollowAssigner.change
 
     def __init__(self, fleet: Fleet, number: int):
         self.fleet, self.number, self.meter, self.next_line = fleet, number, Meter(), 0
         self.chance = fleet.own_chance(number)
+        self.absent = set()
         self.began, self.process, self.collectors, self.servers = time.monotonic(), None, {}, []
         self.folder = tempfile.TemporaryDirectory()
 
@@ -143,15 +145,22 @@
         self.meter.count("reports", IN, data, len(messages))
         self.collectors[zone].write(data)
 
-    def report(self):
-        HollowAssigner.report(self)
-
-    async def reports(self):
+    async def go_on(self):
+        """Reports and changes of tasks, second by second, until it is cancelled."""
+        fleet, second = self.fleet, 0
         while True:
-            self.fleet.load(self.offers())
+            fleet.now = self.now()
+            change_some(fleet, second)
+            for names, state in fleet.ripe():
+                self.change(names, state)
+            fleet.load(self.offers())
             self.report()
+            second += 1
             await asyncio.sleep(WINDOW_MS / 1000.0)
 
+    def unix_ms(self) -> float:
+        return 1000.0 * time.time()
+
     def end(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
@@ -167,17 +176,18 @@
 
 async def _span(assigner: RealAssigner, seconds: float, guard: Guard) -> dict:
     """What one assigner spends in a span: means a second."""
-    process = psutil.Process(assigner.process.pid)
+    process, yardstick = psutil.Process(assigner.process.pid), Yardstick()
     assigner.meter.take()
     used = process.cpu_times()
     before, began = used.user + used.system, time.monotonic()
     while time.monotonic() - began < seconds:
         guard.check()
+        yardstick.lay()
         await asyncio.sleep(min(0.5, seconds))
     used, took = process.cpu_times(), time.monotonic() - began
     traffic = assigner.meter.take()["traffic"]
     return {"cpu_ms": round(1000 * (used.user + used.system - before) / took, 3),
-            "memory_mb": round(process.memory_info().rss / MB, 2),
+            "memory_mb": round(process.memory_info().rss / MB, 2), "yardstick_ms": yardstick.take(),
             "traffic": {kind: {name: round(n / took, 2) for name, n in traffic[kind].items()} for kind in KINDS}}
 
 
@@ -192,7 +202,7 @@
             for entry in fleet.entries.values():
                 entry["endpoint"] = f"127.0.0.1:{port}"
             await made.start()
-            tasks.append(asyncio.create_task(made.reports()))
+            tasks.append(asyncio.create_task(made.go_on()))
         start, settle, calm = spans
         await asyncio.gather(*(_span(a, start, guard) for a in assigners))
         await asyncio.sleep(settle)
--- /dev/null
+++ b/havendyke/lab/scale/roles.py
@@ -0,0 +1,157 @@
+"""What each role has to carry at the operators' target, from the models of one assigner; every assumption by name."""
+from dataclasses import dataclass
+
+# The operators' letter of 2026-12-02.
+ASSIGNERS, TASKS, ROUTES, ZONES, CONTROL_MACHINES = 780, 6_200, 8_800, 7, 6
+BYTES_BUDGET, CPU_BUDGET_MS, MEMORY_BUDGET_MB = 13_000.0, 40.0, 128.0  # a second, a second, at any time
+CHANGES_A_DAY, RESTARTS_A_DAY, CHANGE_MS = 430, 2_300, 10_000.0
+MINUTES_A_DAY = 1_440
+TODAY = {"tasks": 200, "assigners": 5}  # the largest fleet that the bench has played
+
+SITUATIONS = {"calm": "calm", "peak": "at the peak", "release": "a rack in 7 s", "zone": "a zone lost",
+              "region": "a region lost", "start": "whole restart"}
+
+
+@dataclass(frozen=True)
+class Assumption:
+    """What the letter leaves open: the value gone by, and the range in which it may lie."""
+    name: str
+    value: float
+    least: float
+    most: float
+    why: str
+
+
+PROXIES = Assumption("proxies joined to each assigner", 780, 100, 6_200, "one beside each assigner; one beside each task at most")
+SLICES = Assumption("slices held by an assigner", ROUTES / ASSIGNERS, 11, 34, "one a route, held by one assigner; by three at most")
+CLASSES = Assumption("classes of requests", 2, 1, 8, "as the sites played have them")
+REPORTS = Assumption("lines of collectors a second at an assigner", SLICES.value * (2 * ZONES + CLASSES.value), 40, 800,
+                     "each second, a line a slice and class, and one a zone for each task that a line names (owner and spare)")
+ENTRY = Assumption("bytes of an entry of the list", 139, 100, 300, "as our stand-in writes the protocol's fields")
+LINE = Assumption("bytes of a line at a proxy", 80, 60, 200, "as the relay's call words it")
+LINES = Assumption("lines of a table", 2, 1, 4, "an owner and a spare")
+RACK = Assumption("tasks of a rack", 40, 20, 80, "6,200 tasks in some 155 racks")
+REGION = Assumption("zones of a lost region", 3, 2, 3, "7 zones in 3 regions")
+CALM = Assumption("part of the peak's requests on an ordinary hour", 1 / 3, 0.2, 0.6, "no figure in the letter")
+ASSUMPTIONS = (PROXIES, SLICES, CLASSES, REPORTS, ENTRY, LINE, LINES, RACK, REGION, CALM)
+
+
+def target() -> dict:
+    """The letter's size in the axes of a run."""
+    return {"tasks": TASKS, "slices": SLICES.value, "proxies": PROXIES.value, "assigners": ASSIGNERS, "zones": ZONES,
+            "classes": CLASSES.value, "changes": RESTARTS_A_DAY / MINUTES_A_DAY, "reports": REPORTS.value}
+
+
+def on_the_way(part: float) -> dict:
+    """A size between today's (0) and the target (1), tasks and assigners growing by equal factors in equal parts."""
+    size = target()
+    for axis, now in TODAY.items():
+        size[axis] = now * (size[axis] / now) ** part
+    return size
+
+
+@dataclass(frozen=True)
+class Load:
+    """What a role carries in one situation; `cpu_ms` None: its processor time is not the program's."""
+    role: str
+    situation: str
+    messages: float
+    bytes: float
+    cpu_ms: float | None
+
+
+class Capacity:
+    """Models of one assigner and the real ones' ratio, read at any size."""
+
+    def __init__(self, models: dict, records: list):
+        self.models, self.records = models, records
+        beside = [r for r in records if "real" in r]
+        largest = max(beside, key=lambda r: r["size"]["tasks"] * r["size"]["proxies"])
+        self.cpu_ratio, self.memory_mb = largest["real"]["cpu_real_over_hollow"], largest["real"]["memory_mb"]
+        self.memory_point = largest["point"]
+
+    def at(self, metric: str, size: dict) -> float:
+        return self.models[metric].predict(size)
+
+    def cpu(self, phase: str, size: dict) -> float:
+        """Processor time of a real assigner, ms a second."""
+        return self.cpu_ratio * self.at(f"{phase}/cpu", size)
+
+    def assigner(self, phase: str, size: dict) -> Load:
+        return Load("assigner", phase, self.at(f"{phase}/messages", size), self.at(f"{phase}/bytes", size), self.cpu(phase, size))
+
+    def of(self, phase: str, kind: str, unit: str, size: dict) -> float:
+        return self.at(f"{phase}/{kind}/{unit}", size)
+
+    def others(self, phase: str, size: dict) -> list:
+        """The other roles in one situation, all assigners together."""
+        count = size["assigners"]
+        pushes, orders = count * self.at(f"{phase}/calls/sent", size), count * self.at(f"{phase}/orders", size)
+
+        def both(unit, *kinds):
+            return sum(self.of(phase, kind, unit, size) for kind in kinds)
+
+        at_proxy = Load("proxy", phase, pushes, orders * LINE.value, None)
+        relay = Load("relay and store", phase, count * both("messages", "news", "calls") + pushes * size["proxies"],
+                     count * both("bytes", "news", "calls") + size["proxies"] * at_proxy.bytes, None)
+        agent = Load("discovery's agent", phase, both("messages", "list", "watch"), both("bytes", "list", "watch"), None)
+        discovery = Load("discovery", phase, count * self.of(phase, "watch", "messages", size) / 2,
+                         count * (self.of(phase, "watch", "bytes", size) / 2), None)
+        collector = Load("collector", phase, count * both("messages", "reports") / size["zones"],
+                         count * both("bytes", "reports") / size["zones"], None)
+        control = Load("control machine", phase, (relay.messages + discovery.messages) / CONTROL_MACHINES,
+                       (relay.bytes + discovery.bytes) / CONTROL_MACHINES, None)
+        tools = Load("operator's tools", phase, count * self.at(f"{phase}/log_lines", size),
+                     count * self.at(f"{phase}/log_bytes", size), None)
+        task = Load("task", phase, count * both("messages", "probes") / size["tasks"],
+                    count * both("bytes", "probes") / size["tasks"], None)
+        return [at_proxy, relay, discovery, agent, collector, task, control, tools]
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A mechanism that may be missing: what it would carry, against which budget."""
+    name: str
+    phase: str
+    metric: str
+    budget: float
+    unit: str
+    part: float         # of the time, that the situation lasts
+    harm: str
+    mechanism: str
+
+    def weight(self, capacity, size: dict) -> float:
+        """The share of the budget, by the part of the time that it is taken."""
+        return self.part * self.share(capacity, size)
+
+    def share(self, capacity: Capacity, size: dict) -> float:
+        value = capacity.at(self.metric, size)
+        return value * (capacity.cpu_ratio if self.unit == "ms" else 1.0) / self.budget
+
+    def met_at(self, capacity: Capacity, steps: int = 400):
+        """The assigners and tasks on the way at which it takes its whole budget; None: at none up to the target."""
+        for step in range(steps + 1):
+            size = on_the_way(step / steps)
+            if self.share(capacity, size) >= 1.0:
+                return size["assigners"], size["tasks"]
+        return None
+
+
+ALWAYS, A_MINUTE_A_RACK, TWICE_A_YEAR = 1.0, 1 / (7 * MINUTES_A_DAY), 2 / (365 * MINUTES_A_DAY)
+CANDIDATES = (
+    Candidate("list", "calm", "calm/list/bytes", BYTES_BUDGET, "bytes", ALWAYS,
+              "the whole budget many times over, at each assigner; the agent has to hand out all of it",
+              "a look at what changed, in place of the whole list each 3 s"),
+    Candidate("turns", "calm", "calm/cpu", CPU_BUDGET_MS, "ms", ALWAYS, "looks come late, and drains with them",
+              "looks at what changed (dirty sets, timers) in place of all tasks"),
+    Candidate("reports", "calm", "calm/reports/bytes", BYTES_BUDGET, "bytes", ALWAYS, "collectors send each line to each that names a task",
+              "sampling with known weight, or sums by the collectors"),
+    Candidate("probes", "calm", "calm/probes/bytes", BYTES_BUDGET, "bytes", ALWAYS, "connections beside the bytes; a task is asked 5 times a second",
+              "fewer probes of tasks that no line names"),
+    Candidate("answers", "zone", "zone/news/bytes", BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the relay's watches fall behind and are cut off",
+              "answers summed up by the relay, once and not on each watch"),
+    Candidate("answers in a release", "release", "release/news/bytes", BYTES_BUDGET, "bytes", A_MINUTE_A_RACK,
+              "as above", "as above"),
+    Candidate("start", "start", "start/bytes", BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the list comes three times: once whole, and on both watches",
+              "resumption: what is kept on disk, then what changed since"),
+)
--- a/havendyke/lab/scale/run.py
+++ b/havendyke/lab/scale/run.py
@@ -53,15 +53,18 @@
             "taken_ms": spread([ms for p in parts for ms in p["taken_ms"]]),
             "unfinished": sum(p["unfinished"] for p in parts),
             "asked_most": rounded(max(asked.values(), default=0) / parts[0]["seconds"]),
-            "fullest_fresh": max(p["fullest_fresh"] for p in parts)}
+            "fullest_fresh": max(p["fullest_fresh"] for p in parts),
+            "yardstick_ms": rounded(sum(p["yardstick_ms"] for p in parts) / len(parts))}
 
 
 def beside(hollow: dict, reals: list) -> dict:
     """Real assigners' calm span against the hollow ones'."""
     count = len(reals)
     cpu, memory = (sum(r[name] for r in reals) / count for name in ("cpu_ms", "memory_mb"))
-    made = {"count": count, "cpu_ms": rounded(cpu), "memory_mb": rounded(memory),
-            "cpu_real_over_hollow": rounded(cpu / sum(hollow["cpu_ms"].values()))}
+    yardstick = sum(r["yardstick_ms"] for r in reals) / count
+    ratio = cpu / yardstick / (sum(hollow["cpu_ms"].values()) / hollow["yardstick_ms"])
+    made = {"count": count, "cpu_ms": rounded(cpu), "memory_mb": rounded(memory), "yardstick_ms": rounded(yardstick),
+            "cpu_real_over_hollow": rounded(ratio)}
     for unit in ("bytes", "messages"):
         for kind in KINDS:
             theirs = sum(r["traffic"][kind][f"{way}_{unit}"] for r in reals for way in (IN, OUT)) / count
--- a/havendyke/lab/scale/size.py
+++ b/havendyke/lab/scale/size.py
@@ -24,7 +24,7 @@
     classes: int = 2
     changes: int = 6       # tasks a minute that are drained, leave and come back
     reports: int = 40      # lines of the collectors a second at each assigner
-    hollow: int = 4
+    hollow: int = 6
 
     def described(self) -> dict:
         return asdict(self)
