--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one benchmark by its name."""
+"""Runs one benchmark by its name; what follows the name is for the benchmark that takes it."""
 import importlib
 import json
 import pkgutil
@@ -10,10 +10,16 @@
 
 
 def main(words) -> int:
-    if len(words) != 1 or words[0] not in NAMES:
+    if not words or words[0] not in NAMES:
         print(f"benchmarks: give one of {', '.join(NAMES)}", file=sys.stderr)
         return 2
-    print(json.dumps(importlib.import_module(f"benchmarks.{words[0]}").measure()))
+    module = importlib.import_module(f"benchmarks.{words[0]}")
+    if len(words) > 1 and hasattr(module, "main"):
+        return module.main(words[1:])
+    if len(words) > 1:
+        print(f"benchmarks: {words[0]} takes nothing further, not {words[1][:40]}", file=sys.stderr)
+        return 2
+    print(json.dumps(module.measure()))
     return 0
 
 
--- a/havendyke/lab/scale/course.py
+++ b/havendyke/lab/scale/course.py
@@ -71,7 +71,7 @@
 
     def second(self, phase: Phase, second: int):
         fleet = self.fleet
-        if phase.name == "calm" or phase.name == "peak":
+        if phase.name in ("settling", "calm", "peak"):
             change_some(fleet, second)
         fleet.load(self.exchange(sum((a.offers() for a in self.assigners), Counter())))
         if self.fresh and fleet.size.hollow == fleet.size.assigners:
--- a/havendyke/lab/scale/fit.py
+++ b/havendyke/lab/scale/fit.py
@@ -18,7 +18,7 @@
 FORMS = {"linear": lambda x: x, "n log n": lambda x: x * numpy.log2(numpy.maximum(x, 2.0)), "square": lambda x: x * x,
          "inverse": lambda x: 1.0 / numpy.maximum(x, 0.1)}
 LEAST_POINTS = 4              # sizes of an axis, below which no curve is drawn
-YARDSTICK_MS = 0.45           # of the plain loop with little else on the machine; processor times are scaled to it
+YARDSTICK_MS = 0.51           # of the plain loop in the quickest record; processor times are scaled to it
 RESAMPLES, SEED = 400, 20261202
 INTERVAL = (2.5, 97.5)        # percentiles of the resampled slopes
 LINES_A_TABLE = 2             # an owner and a spare
--- a/havendyke/lab/scale/page.py
+++ b/havendyke/lab/scale/page.py
@@ -1,4 +1,5 @@
 """The tables of docs/CAPACITY.md and docs/design/capacity.md, written from the records between their marks."""
+import math
 import re
 from pathlib import Path
 
@@ -76,15 +77,24 @@
                      [[a.name, figure(a.value), f"{figure(a.least)} to {figure(a.most)}", a.why] for a in roles.ASSUMPTIONS])
 
     def assigner(self) -> str:
-        rows = []
+        direct = self.nearest()
+        values, rows = fit.metrics(direct), []
         for phase, said in roles.SITUATIONS.items():
             load = self.capacity.assigner(phase, self.size)
+            run = values[f"{phase}/cpu"] * self.capacity.cpu_ratio
             rows.append([said, figure(load.messages), figure(load.bytes), share(load.bytes, roles.BYTES_BUDGET),
-                         figure(load.cpu_ms), share(load.cpu_ms, roles.CPU_BUDGET_MS)])
-        memory = self.capacity.memory_mb
-        return (table(["situation", "messages/s", "bytes/s", "of 13 KB/s", "ms of a core/s", "of 4 % of a core"], rows)
-                + f"\n\nMemory of a real one at `{self.capacity.memory_point}`: {memory:.0f} MB, "
-                f"{share(memory, roles.MEMORY_BUDGET_MB)} of 128 MB.")
+                         figure(values[f"{phase}/bytes"]), figure(load.cpu_ms), share(load.cpu_ms, roles.CPU_BUDGET_MS), figure(run)])
+        memory, ran = self.capacity.memory_mb, direct["size"]
+        return (table(["situation", "messages/s", "bytes/s", "of 13 KB/s", "bytes/s, run", "ms of a core/s", "of 4 % of a core",
+                       "ms/s, run"], rows)
+                + f"\n\n*Run*: measured at `{direct['point']}` ({ran['tasks']} tasks, {ran['slices']} slices, {ran['proxies']} proxies, "
+                f"{ran['assigners']} assigners of which {ran['hollow']} ran, {ran['reports']} reports a second). Memory of a real one at "
+                f"`{self.capacity.memory_point}`: {memory:.0f} MB, {share(memory, roles.MEMORY_BUDGET_MB)} of 128 MB.")
+
+    def nearest(self) -> dict:
+        """The record whose size is the nearest to the target's, by factors."""
+        return min(self.records, key=lambda r: sum(abs(math.log(r["size"][axis] / self.size[axis])) for axis in (
+            "tasks", "slices", "proxies", "assigners", "reports")))
 
     def kinds(self) -> str:
         rows = []
@@ -174,8 +184,7 @@
         rows = []
         for c in sorted(roles.CANDIDATES, key=lambda c: -c.weight(self.capacity, self.size)):
             met, now = c.met_at(self.capacity), c.share(self.capacity, roles.on_the_way(0.0))
-            value = self.capacity.at(c.metric, self.size) * (self.capacity.cpu_ratio if c.unit == "ms" else 1.0)
-            rows.append([c.name, roles.SITUATIONS[c.phase], f"{figure(value)} {c.unit}/s", f"{c.share(self.capacity, self.size):.2f}",
+            rows.append([c.name, roles.SITUATIONS[c.phase], f"{figure(c.value(self.capacity, self.size))} {c.unit}/s", f"{c.share(self.capacity, self.size):.2f}",
                          f"{c.part:.1g}", f"{now:.2f}", f"{met[0]:.0f} and {met[1]:.0f}" if met else "not on the way", c.harm,
                          c.mechanism])
         return table(["candidate", "situation", "at the target", "share of budget", "part of the time", "share at 5 and 200",
--- a/havendyke/lab/scale/roles.py
+++ b/havendyke/lab/scale/roles.py
@@ -113,20 +113,24 @@
     """A mechanism that may be missing: what it would carry, against which budget."""
     name: str
     phase: str
-    metric: str
+    metrics: tuple
     budget: float
-    unit: str
+    unit: str           # "bytes", or "ms" of a real assigner
     part: float         # of the time, that the situation lasts
     harm: str
     mechanism: str
 
-    def weight(self, capacity, size: dict) -> float:
+    def weight(self, capacity: Capacity, size: dict) -> float:
         """The share of the budget, by the part of the time that it is taken."""
         return self.part * self.share(capacity, size)
 
+    def value(self, capacity: Capacity, size: dict) -> float:
+        """What it takes a second, in its unit."""
+        made = sum(capacity.at(metric, size) for metric in self.metrics)
+        return made * (capacity.cpu_ratio if self.unit == "ms" else 1.0)
+
     def share(self, capacity: Capacity, size: dict) -> float:
-        value = capacity.at(self.metric, size)
-        return value * (capacity.cpu_ratio if self.unit == "ms" else 1.0) / self.budget
+        return self.value(capacity, size) / self.budget
 
     def met_at(self, capacity: Capacity, steps: int = 400):
         """The assigners and tasks on the way at which it takes its whole budget; None: at none up to the target."""
@@ -138,20 +142,21 @@
 
 
 ALWAYS, A_MINUTE_A_RACK, TWICE_A_YEAR = 1.0, 1 / (7 * MINUTES_A_DAY), 2 / (365 * MINUTES_A_DAY)
+TURN = tuple(f"calm/cpu/{part}" for part in ("judge", "shed", "plan", "emit", "ask", "turn"))
 CANDIDATES = (
-    Candidate("list", "calm", "calm/list/bytes", BYTES_BUDGET, "bytes", ALWAYS,
+    Candidate("list", "calm", ("calm/list/bytes",), BYTES_BUDGET, "bytes", ALWAYS,
               "the whole budget many times over, at each assigner; the agent has to hand out all of it",
               "a look at what changed, in place of the whole list each 3 s"),
-    Candidate("turns", "calm", "calm/cpu", CPU_BUDGET_MS, "ms", ALWAYS, "looks come late, and drains with them",
+    Candidate("turns", "calm", TURN, CPU_BUDGET_MS, "ms", ALWAYS, "looks come late, and drains with them",
               "looks at what changed (dirty sets, timers) in place of all tasks"),
-    Candidate("reports", "calm", "calm/reports/bytes", BYTES_BUDGET, "bytes", ALWAYS, "collectors send each line to each that names a task",
+    Candidate("reports", "calm", ("calm/reports/bytes",), BYTES_BUDGET, "bytes", ALWAYS, "collectors send each line to each that names a task",
               "sampling with known weight, or sums by the collectors"),
-    Candidate("probes", "calm", "calm/probes/bytes", BYTES_BUDGET, "bytes", ALWAYS, "connections beside the bytes; a task is asked 5 times a second",
+    Candidate("probes", "calm", ("calm/probes/bytes",), BYTES_BUDGET, "bytes", ALWAYS, "connections beside the bytes; a task is asked 5 times a second",
               "fewer probes of tasks that no line names"),
-    Candidate("answers", "zone", "zone/news/bytes", BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the relay's watches fall behind and are cut off",
+    Candidate("answers", "zone", ("zone/news/bytes",), BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the relay's watches fall behind and are cut off",
               "answers summed up by the relay, once and not on each watch"),
-    Candidate("answers in a release", "release", "release/news/bytes", BYTES_BUDGET, "bytes", A_MINUTE_A_RACK,
+    Candidate("answers in a release", "release", ("release/news/bytes",), BYTES_BUDGET, "bytes", A_MINUTE_A_RACK,
               "as above", "as above"),
-    Candidate("start", "start", "start/bytes", BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the list comes three times: once whole, and on both watches",
+    Candidate("start", "start", ("start/bytes",), BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the list comes three times: once whole, and on both watches",
               "resumption: what is kept on disk, then what changed since"),
 )
--- a/havendyke/lab/scale/size.py
+++ b/havendyke/lab/scale/size.py
@@ -19,7 +19,7 @@
     tasks: int = 400
     slices: int = 11       # held by each assigner
     proxies: int = 100     # joined to each assigner
-    assigners: int = 100
+    assigners: int = 780
     zones: int = 7
     classes: int = 2
     changes: int = 6       # tasks a minute that are drained, leave and come back
@@ -36,16 +36,16 @@
           "hollow": (1, 4096)}
 
 # One axis at a time round the base; the others stay.
-STEPS = {"tasks": (200, 800, 1600, 3200, 6200), "slices": (5, 22, 44, 88), "proxies": (50, 200, 400, 800, 1600),
-         "assigners": (25, 50, 200, 780), "zones": (2, 4, 14), "classes": (1, 4, 8), "changes": (0, 30, 120, 480),
+STEPS = {"tasks": (200, 800, 1600, 3200, 6200), "slices": (5, 22, 44, 80), "proxies": (50, 200, 400, 800, 1600),
+         "assigners": (25, 100, 200, 400), "zones": (2, 4, 14), "classes": (1, 4, 8), "changes": (0, 30, 120, 480),
          "reports": (10, 80, 160, 320)}
-FLEETS = (25, 50, 100, 200)  # assigners, all of them run: what they do together
+FLEETS = (100, 25, 50, 200)  # assigners, all of them run: what they do together
 PAIRS = ({"tasks": 1600, "proxies": 400}, {"tasks": 800, "slices": 33, "reports": 120},
          {"proxies": 400, "slices": 33, "changes": 60})
 HELD_OUT = ({"tasks": 1200, "slices": 30, "proxies": 300, "reports": 100, "zones": 4},
             {"tasks": 2400, "slices": 16, "proxies": 200, "assigners": 300, "reports": 60, "changes": 20},
             {"tasks": 600, "slices": 60, "proxies": 500, "reports": 150, "classes": 4},
-            {"tasks": 6200, "slices": 11, "proxies": 780, "assigners": 780, "reports": 150, "changes": 2})
+            {"tasks": 6200, "slices": 11, "proxies": 780, "reports": 180, "changes": 2})
 
 
 @dataclass(frozen=True)
@@ -59,9 +59,9 @@
 def plan() -> list:
     """All points of a whole measurement."""
     base = Size()
-    made = [Point("base", "base", base)]
+    made = [Point(f"fleet-{count}", "fleet", replace(base, assigners=count, hollow=count)) for count in FLEETS]  # the longest first
+    made += [Point("base", "base", base)]
     made += [Point(f"{axis}-{value}", axis, replace(base, **{axis: value})) for axis, values in STEPS.items() for value in values]
-    made += [Point(f"fleet-{count}", "fleet", replace(base, assigners=count, hollow=count)) for count in FLEETS]
     made += [Point(f"pair-{k}", "pair", replace(base, **more)) for k, more in enumerate(PAIRS, 1)]
     return made + [Point(f"held-{k}", "held", replace(base, **more)) for k, more in enumerate(HELD_OUT, 1)]
 
--- /dev/null
+++ b/tests/lab/test_scale_tools.py
@@ -0,0 +1,145 @@
+"""The tools of a scale run: slopes of known figures, records, pages, and every wrong call as one line with status 2."""
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import numpy
+import pytest
+
+from benchmarks import capacity
+from havendyke.cli.main import main
+from havendyke.lab.scale import fit, page, record
+from havendyke.lab.scale.size import AXES, BadSize, Size, check_machine, plan, read_size
+from havendyke.lab.scale.workers import shares
+
+SIZES = [100.0, 200.0, 400.0, 800.0, 1600.0]
+
+
+@pytest.mark.parametrize("form", fit.FORMS)
+def test_a_form_is_told_from_the_others_and_its_slope_lies_in_the_interval(form):
+    shaped = fit.FORMS[form](numpy.array(SIZES))
+    noise = 0.002 * (shaped.max() - shaped.min()) * numpy.array([1.0, -1.0, 0.5, -1.0, 0.5])
+    curve = fit.fitted("tasks", SIZES, 5 + 3 * shaped + noise)
+    assert curve.form == form and curve.low <= 3 <= curve.high and curve.points == 5
+
+
+def test_the_same_records_give_the_same_interval():
+    assert fit.fitted("tasks", SIZES, [3, 5, 9, 18, 33]) == fit.fitted("tasks", SIZES, [3, 5, 9, 18, 33])
+
+
+def test_effects_of_two_axes_go_together_as_the_pairs_say():
+    curves = {axis: fit.Curve(axis, "linear", 1.0, 1000.0 - getattr(Size(), axis), 0.0, 1.0, 1.0, 5) for axis in ("tasks", "proxies")}
+    size = {"tasks": 800, "proxies": 200}
+    both = [fit.Model("calm/bytes", 1000.0, curves, how) for how in ("sum", "product")]
+    assert [m.predict(size) for m in both] == pytest.approx([1500.0, 1540.0])
+    assert fit.best(both, [(size, 1545.0)]).combine == "product" and fit.best(both, [(size, 1490.0)]).combine == "sum"
+
+
+@pytest.mark.parametrize("measured, predicted, passed", [(1000, 1240, True), (1000, 1260, False), (10, 60, True)])
+def test_a_prediction_may_miss_by_a_quarter_or_by_what_is_nothing(measured, predicted, passed):
+    assert fit.Check("held-1", "calm/bytes", measured, predicted).passed == passed
+
+
+def test_the_plan_has_four_sizes_of_each_axis_beside_the_base_and_keeps_points_apart():
+    roles = [p.role for p in plan()]
+    assert all(roles.count(axis) >= 3 for axis in AXES) and roles.count("held") >= 3 and roles.count("base") == 1
+    assert len({p.name for p in plan()}) == len(roles)
+    for point in plan():
+        check_machine(read_size(point.size.described()), 2, 4096.0)
+
+
+def test_every_assigner_is_run_by_one_worker():
+    told = shares(Size(assigners=100, hollow=7), 3)
+    assert sorted(k for numbers in told for k in numbers) == [14 * k for k in range(7)]
+
+
+@pytest.mark.parametrize("axes, said", [
+    ({"task": 5}, "no axis is named 'task'"), ({"tasks": 10 ** 8}, "goes from 8 to"), ({"zones": 1}, "goes from 2 to"),
+    ({"slices": 9999, "assigners": 4096}, "are more than 65534 tables")])
+def test_a_size_that_is_none_is_refused(axes, said):
+    with pytest.raises(BadSize, match=said):
+        read_size(axes)
+
+
+def call(capsys, *words):
+    status = main(["lab", "scale", *words])
+    return status, capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words, said", [
+    (["run", "nosuch=3"], "no axis is named 'nosuch'"), (["run", "tasks"], "an axis is NAME=NUMBER"),
+    (["run", "tasks=-4"], "an axis is NAME=NUMBER"), (["run", "tasks=90000", "hollow=90"], "this size needs some"),
+    (["run", "--workers", "400"], "are more than 250 processes"), (["run", "--seed", "x"], "not a valid integer"),
+    (["run", "--name", "../x"], "a record's name"), (["run", "--seconds", "1"], "longer than 1 s"),
+    (["run", "--memory-mb", "64", "hollow=1", "tasks=8", "proxies=1"], "MB of the 64"), (["nosuch"], "No such command")])
+def test_a_wrong_call_is_one_line_and_status_2(capsys, words, said):
+    status, err = call(capsys, *words)
+    assert status == 2 and said in err and err.count("\n") == 1
+
+
+def test_a_record_is_never_overwritten(capsys, tmp_path):
+    (tmp_path / "mine.json").write_text("kept")
+    status, err = call(capsys, "run", "--into", str(tmp_path), "--name", "mine")
+    assert status == 2 and "nothing was overwritten" in err and (tmp_path / "mine.json").read_text() == "kept"
+    with pytest.raises(record.BadRecord, match="nothing was overwritten"):
+        record.write(tmp_path, "mine", {})
+
+
+def copies(tmp_path, **more):
+    """Two of the repository's records, the second changed."""
+    one, other = (record.read(path) for path in sorted(capacity.RECORDS.glob("*.json"))[:2])
+    (tmp_path / "a.json").write_text(json.dumps(one))
+    (tmp_path / "b.json").write_text(json.dumps(other | more))
+    return str(tmp_path)
+
+
+@pytest.mark.parametrize("text, said", [
+    ('{"form":', "not JSON"), ("[]", "not a record"), ('{"form":"havendyke scale 1"}', "field 'point' is missing"),
+    ('{"form":"havendyke scale 2"}', "not a record")])
+def test_a_broken_record_is_one_line_and_the_pages_stay(tmp_path, capsys, text, said):
+    (tmp_path / "base.json").write_text(text)
+    before = [path.read_text() for path in capacity.PAGES]
+    for what in ("--fit", "--page"):
+        assert capacity.main([what, "--records", str(tmp_path)]) == 2
+        err = capsys.readouterr().err
+        assert said in err and err.count("\n") == 1
+    assert [path.read_text() for path in capacity.PAGES] == before
+
+
+def test_records_of_two_texts_do_not_go_together(tmp_path, capsys):
+    folder = copies(tmp_path, text={"commit": "0" * 12, "sources": "0" * 16})
+    assert capacity.main(["--fit", "--records", folder]) == 2 and "of another text than" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words", [["--fit", "--page"], ["--nosuch"], [], ["--fit", "--records", "/nonexistent"]])
+def test_a_wrong_call_of_the_fit_is_one_line(capsys, words):
+    assert capacity.main(words) == 2
+    out, err = capsys.readouterr()
+    assert not out and err.count("\n") == 1
+
+
+def test_the_pages_agree_with_the_records():
+    blocks = page.Page(record.read_all(capacity.RECORDS)).blocks()
+    for path in capacity.PAGES:
+        assert page.written(path.read_text(), blocks) == path.read_text(), f"python -m benchmarks capacity --page writes {path.name}"
+    marked = {found["name"] for path in capacity.PAGES for found in page.MARK.finditer(path.read_text())}
+    assert marked == set(blocks)
+
+
+def test_no_record_names_a_machine_or_a_path():
+    for path in capacity.RECORDS.glob("*.json"):
+        assert "/home" not in path.read_text() and set(record.read(path)["machine"]) == {"cores", "memory_gb", "python"}
+
+
+def test_a_page_without_its_marks_is_refused():
+    with pytest.raises(page.BadPage):
+        page.written("# Capacity\n", {})
+    with pytest.raises(page.BadPage, match="nosuch"):
+        page.written("<!-- begin nosuch -->\n<!-- end nosuch -->", {})
+
+
+def test_other_benchmarks_still_take_their_name_alone():
+    told = subprocess.run([sys.executable, "-m", "benchmarks", "fleet", "--fit"], cwd=Path(capacity.__file__).parents[1],
+                          capture_output=True, text=True, timeout=60)
+    assert told.returncode == 2 and "takes nothing further" in told.stderr
