--- a/tests/lab/test_scale_run.py
+++ b/tests/lab/test_scale_run.py
@@ -69,6 +69,17 @@
     assert counted(tasks=2 * MANY)["operations"] / counted(tasks=MANY)["operations"] < SQUARE
 
 
+@pytest.mark.parametrize("phase, kind, most", [("calm", "probes", 70), ("calm", "list", 90), ("start", "watch", 90)])
+def test_a_question_of_ours_stays_short(phase, kind, most):
+    sent = course().measured[phase]["traffic"][kind]
+    assert 0 < sent["out_bytes"] <= most * sent["out_messages"]
+
+
+def test_an_order_of_ours_stays_short():
+    run = course().measured["release"]
+    assert 0 < run["traffic"]["calls"]["out_bytes"] <= 100 * run["orders"] + 100 * run["traffic"]["calls"]["out_messages"]
+
+
 def test_what_a_calm_second_costs_stays_within_its_bound():
     # Counted with Python 3.11; a tenth above what it was when this was written.
     assert counted()["operations"] < 1_370_000
