--- a/havendyke/lab/scale/batch.py
+++ b/havendyke/lab/scale/batch.py
@@ -1,4 +1,5 @@
 """All points of the plan, some at once, each into its record; those that have one already are left out."""
+
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
--- a/havendyke/lab/scale/course.py
+++ b/havendyke/lab/scale/course.py
@@ -1,4 +1,5 @@
 """The course of a run: phases one after the other, each measured by itself or left to settle."""
+
 from collections import Counter
 from dataclasses import dataclass
 
@@ -7,11 +8,11 @@
 from .meter import Yardstick
 from .size import ZONE_NAMES
 
-STEP_MS = 250.0       # the model's own step; assigners run on their deadlines within it
-SECOND_MS = 1000.0    # between reports, and between exchanges of what tasks are sent
-RACK = 40             # tasks of a rack, at most a fifth of all
-RACK_MS = 7_000.0     # in which a rack is drained
-REGION = 3 / 7        # of the zones
+STEP_MS = 250.0  # the model's own step; assigners run on their deadlines within it
+SECOND_MS = 1000.0  # between reports, and between exchanges of what tasks are sent
+RACK = 40  # tasks of a rack, at most a fifth of all
+RACK_MS = 7_000.0  # in which a rack is drained
+REGION = 3 / 7  # of the zones
 
 
 @dataclass(frozen=True)
@@ -23,9 +24,16 @@
 
 
 PHASES = (  # spans of whole looks at the list, 3 s each, where measured
-    Phase("start", 6), Phase("settling", 12, False), Phase("calm", 12), Phase("peak", 6, True, 1.0),
-    Phase("release", 12), Phase("after release", 6, False), Phase("zone", 6), Phase("healing", 8, False),
-    Phase("region", 6))
+    Phase("start", 6),
+    Phase("settling", 12, False),
+    Phase("calm", 12),
+    Phase("peak", 6, True, 1.0),
+    Phase("release", 12),
+    Phase("after release", 6, False),
+    Phase("zone", 6),
+    Phase("healing", 8, False),
+    Phase("region", 6),
+)
 SHORT = (Phase("start", 3), Phase("settling", 3, False), Phase("calm", 6), Phase("release", 9))
 
 
@@ -50,7 +58,7 @@
         return self.measured
 
     def begin(self, phase: Phase):
-        fleet, zones = self.fleet, ZONE_NAMES[:self.fleet.size.zones]
+        fleet, zones = self.fleet, ZONE_NAMES[: self.fleet.size.zones]
         fleet.demand = phase.demand
         if phase.name == "start":
             self.assigners = [HollowAssigner(fleet, number) for number in self.numbers]
@@ -62,7 +70,7 @@
                 fleet.at(RACK_MS * place / len(names) + SECOND_MS * 3, [name], "terminated")
                 fleet.at(RACK_MS * place / len(names) + SECOND_MS * 4, [name], "in_service")
         elif phase.name in ("zone", "region"):
-            lost = zones[:1] if phase.name == "zone" else zones[:max(1, round(len(zones) * REGION))]
+            lost = zones[:1] if phase.name == "zone" else zones[: max(1, round(len(zones) * REGION))]
             fleet.lose(lost)
             for assigner in self.assigners:
                 assigner.restart_proxies(lost)
@@ -75,8 +83,9 @@
             change_some(fleet, second)
         fleet.load(self.exchange(sum((a.offers() for a in self.assigners), Counter())))
         if self.fresh and fleet.size.hollow == fleet.size.assigners:
-            self.fullest = max([self.fullest] + [fleet.fullness(n) for n in self.fresh
-                                                 if fleet.entries[n]["state"] == "in_service"])
+            self.fullest = max(
+                [self.fullest] + [fleet.fullness(n) for n in self.fresh if fleet.entries[n]["state"] == "in_service"]
+            )
         for assigner in self.assigners:
             assigner.report()
         for _ in range(int(SECOND_MS / STEP_MS)):
@@ -97,8 +106,10 @@
             made["calls"].update(one["calls"])
             for kind, counts in one["traffic"].items():
                 made["traffic"][kind] = dict(Counter(made["traffic"].get(kind, {})) + Counter(counts))
-        made["log"] = {"lines": sum(a.hub.log_lines for a in self.assigners),
-                       "bytes": sum(a.hub.log_bytes for a in self.assigners)}
+        made["log"] = {
+            "lines": sum(a.hub.log_lines for a in self.assigners),
+            "bytes": sum(a.hub.log_bytes for a in self.assigners),
+        }
         made["orders"] = sum(a.relay.orders for a in self.assigners)
         made["taken_ms"] = [round(ms, 1) for a in self.assigners for ms in a.relay.taken_ms]
         made["unfinished"] = sum(len(a.relay.waits) for a in self.assigners)
--- a/havendyke/lab/scale/fit.py
+++ b/havendyke/lab/scale/fit.py
@@ -5,6 +5,7 @@
 are put together as a sum or as a product, whichever says the `pair` records better; the `held` records are used for nothing
 but the test. A total is the sum of its parts' predictions.
 """
+
 from dataclasses import dataclass
 
 import numpy
@@ -15,22 +16,26 @@
 from .record import BadRecord
 from .size import AXES, Size
 
-FORMS = {"linear": lambda x: x, "n log n": lambda x: x * numpy.log2(numpy.maximum(x, 2.0)), "square": lambda x: x * x,
-         "inverse": lambda x: 1.0 / numpy.maximum(x, 0.1)}
-LEAST_POINTS = 4              # sizes of an axis, below which no curve is drawn
-YARDSTICK_MS = 0.51           # of the plain loop in the quickest record; processor times are scaled to it
+FORMS = {
+    "linear": lambda x: x,
+    "n log n": lambda x: x * numpy.log2(numpy.maximum(x, 2.0)),
+    "square": lambda x: x * x,
+    "inverse": lambda x: 1.0 / numpy.maximum(x, 0.1),
+}
+LEAST_POINTS = 4  # sizes of an axis, below which no curve is drawn
+YARDSTICK_MS = 0.51  # of the plain loop in the quickest record; processor times are scaled to it
 RESAMPLES, SEED = 400, 20261202
-INTERVAL = (2.5, 97.5)        # percentiles of the resampled slopes
-LINES_A_TABLE = 2             # an owner and a spare
-FLAT = 0.02                   # of the base's value: an axis that moves a metric by less does nothing to it
-WITHIN = 0.25                 # of a held-out value, that a prediction may miss it by
+INTERVAL = (2.5, 97.5)  # percentiles of the resampled slopes
+LINES_A_TABLE = 2  # an owner and a spare
+FLAT = 0.02  # of the base's value: an axis that moves a metric by less does nothing to it
+WITHIN = 0.25  # of a held-out value, that a prediction may miss it by
 NEGLIGIBLE = {"bytes": 130.0, "cpu": 0.4, "memory": 1.28, "messages": 1.0}  # 1 % of an assigner's budget: misses below are none
 
 
 # What a mechanism turns on where that is no axis by itself, worked out from the rules; a curve along it stands for its axes'.
-QUESTIONS = "questions a second"    # probes, by the rule that shares PROBED a second among those who ask
-HITS = "own tasks released"         # of a rack, that lines of one assigner name
-REPLACED = "own tasks replaced"     # a second, the same in a calm span
+QUESTIONS = "questions a second"  # probes, by the rule that shares PROBED a second among those who ask
+HITS = "own tasks released"  # of a rack, that lines of one assigner name
+REPLACED = "own tasks replaced"  # a second, the same in a calm span
 DERIVED = {QUESTIONS: ("tasks", "assigners", "slices"), HITS: ("tasks", "slices"), REPLACED: ("tasks", "slices", "changes")}
 PUSHED = ("news", "calls", "orders")
 
@@ -61,12 +66,13 @@
 @dataclass(frozen=True)
 class Curve:
     """One metric along one axis: `intercept + slope * form(x)`."""
+
     axis: str
     form: str
     slope: float
     intercept: float
-    residual: float     # root of the mean square, in the metric's unit
-    low: float          # of the slope, by resampling
+    residual: float  # root of the mean square, in the metric's unit
+    low: float  # of the slope, by resampling
     high: float
     points: int
 
@@ -77,6 +83,7 @@
 @dataclass(frozen=True)
 class Total:
     """The sum of other metrics."""
+
     metric: str
     parts: tuple
     curves: dict
@@ -89,15 +96,18 @@
 @dataclass(frozen=True)
 class Model:
     """One metric over all axes; `combine` says how effects of several axes go together."""
+
     metric: str
     base: float
     curves: dict
-    combine: str        # "sum" or "product"
+    combine: str  # "sum" or "product"
 
     def predict(self, size: dict) -> float:
         """The metric at a size: {axis: value}; axes left out are the base's."""
         origin = Size().described()
-        pairs = [(curve.at(place(origin, axis)), curve.at(place({**origin, **size}, axis))) for axis, curve in self.curves.items()]
+        pairs = [
+            (curve.at(place(origin, axis)), curve.at(place({**origin, **size}, axis))) for axis, curve in self.curves.items()
+        ]
         # The base was measured once; where curves go through it, they know it better together.
         level = sum(here for here, _ in pairs) / len(pairs) if pairs else self.base
         if self.combine == "sum":
@@ -167,8 +177,11 @@
     """The curve of each axis that moves the metric; `told` has (record, its metrics)."""
     base, made = next(values[metric] for record, values in told if record["role"] == "base"), {}
     for axis, on_it in axes_of(metric).items():
-        points = [(place(record["size"], axis), values.get(metric, 0.0)) for record, values in told
-                  if record["role"] in ("base", *on_it)]
+        points = [
+            (place(record["size"], axis), values.get(metric, 0.0))
+            for record, values in told
+            if record["role"] in ("base", *on_it)
+        ]
         if len(points) < LEAST_POINTS:
             continue
         xs, ys = zip(*sorted(points))
@@ -187,8 +200,10 @@
     made = {}
     for metric, value in base.items():
         curves = curves_of(metric, told)
-        made[metric] = best([Model(metric, value, curves, how) for how in ("sum", "product")],
-                            [(r["size"], v.get(metric, 0.0)) for r, v in told if r["role"] == "pair"])
+        made[metric] = best(
+            [Model(metric, value, curves, how) for how in ("sum", "product")],
+            [(r["size"], v.get(metric, 0.0)) for r, v in told if r["role"] == "pair"],
+        )
     for metric in base:
         phase, _, unit = metric.partition("/")
         if unit in ("bytes", "messages"):
@@ -213,6 +228,7 @@
 @dataclass(frozen=True)
 class Check:
     """One held-out figure beside its prediction."""
+
     point: str
     metric: str
     measured: float
@@ -229,5 +245,9 @@
 
 def checks(records: list, fitted_models: dict, wanted) -> list:
     """Each wanted metric at each held-out point."""
-    return [Check(r["point"], metric, metrics(r).get(metric, 0.0), fitted_models[metric].predict(r["size"]))
-            for r in records if r["role"] == "held" for metric in wanted]
+    return [
+        Check(r["point"], metric, metrics(r).get(metric, 0.0), fitted_models[metric].predict(r["size"]))
+        for r in records
+        if r["role"] == "held"
+        for metric in wanted
+    ]
--- a/havendyke/lab/scale/fleet.py
+++ b/havendyke/lab/scale/fleet.py
@@ -1,33 +1,51 @@
 """The model of the fleet that all assigners of a process share: tasks, what they are sent, how slow that makes them."""
+
 import random
 from collections import Counter
 
 from .size import ZONE_NAMES, Size
 
 REQUESTS_A_SLICE = 17.0  # a second at the peak: 150,000 over 8,800 routes
-CALM_PART = 1 / 3        # of the peak, on an ordinary hour
-USUAL_LOAD = 0.5         # of a warm task's capacity, at the peak with all in service
-WORK_MS = 60.0           # a request's time at an idle task
-FULLEST = 0.95           # beyond this share of its capacity a task's answers get no slower
+CALM_PART = 1 / 3  # of the peak, on an ordinary hour
+USUAL_LOAD = 0.5  # of a warm task's capacity, at the peak with all in service
+WORK_MS = 60.0  # a request's time at an idle task
+FULLEST = 0.95  # beyond this share of its capacity a task's answers get no slower
 COLD_MS, COLD_FROM = 16_000.0, 0.2
-DRAIN_MS = 3_000.0       # from a task's drain to its end
-ABSENT_MS = 3_000.0      # from its end to its successor's start, under the same name
-PUSH_MS = 300.0          # mean time of a message to a proxy
-LINES_A_PROXY = 200.0    # that the channel carries a second
+DRAIN_MS = 3_000.0  # from a task's drain to its end
+ABSENT_MS = 3_000.0  # from its end to its successor's start, under the same name
+PUSH_MS = 300.0  # mean time of a message to a proxy
+LINES_A_PROXY = 200.0  # that the channel carries a second
 
 
 def settings(size: Size, number: int) -> dict:
     """The platform's settings for one assigner."""
-    classes = [{"name": f"class{k}", "promise": 1e9, "hardLimit": 3e9, "repeat": "side_effect" if k % 2 else "pure"}
-               for k in range(size.classes)]
-    family = {"keyRanges": size.slices * size.assigners, "dataPlaneSize": size.proxies, "overhead": 8.0,
-              "channelRate": LINES_A_PROXY * size.proxies, "pendingMax": 2 * LINES_A_PROXY * size.proxies,
-              "pushDelay": PUSH_MS * 1e6, "interval": 1e9, "throttleBy": "share"}
-    return {"balancers": size.assigners, "me": number, "requestClasses": classes, "familyInfo": family,
-            "localities": list(ZONE_NAMES[:size.zones]), "kinds": ["m1"], "weightKind": "nominal",
-            "registryMode": "push", "limits": {"probes": True},
-            "obligations": {"cold": COLD_MS * 1e6, "coldFrom": COLD_FROM, "overloadFactor": 3.0},
-            "telemetry": {"source": "answers"}}
+    classes = [
+        {"name": f"class{k}", "promise": 1e9, "hardLimit": 3e9, "repeat": "side_effect" if k % 2 else "pure"}
+        for k in range(size.classes)
+    ]
+    family = {
+        "keyRanges": size.slices * size.assigners,
+        "dataPlaneSize": size.proxies,
+        "overhead": 8.0,
+        "channelRate": LINES_A_PROXY * size.proxies,
+        "pendingMax": 2 * LINES_A_PROXY * size.proxies,
+        "pushDelay": PUSH_MS * 1e6,
+        "interval": 1e9,
+        "throttleBy": "share",
+    }
+    return {
+        "balancers": size.assigners,
+        "me": number,
+        "requestClasses": classes,
+        "familyInfo": family,
+        "localities": list(ZONE_NAMES[: size.zones]),
+        "kinds": ["m1"],
+        "weightKind": "nominal",
+        "registryMode": "push",
+        "limits": {"probes": True},
+        "obligations": {"cold": COLD_MS * 1e6, "coldFrom": COLD_FROM, "overloadFactor": 3.0},
+        "telemetry": {"source": "answers"},
+    }
 
 
 class Fleet:
@@ -39,9 +57,19 @@
         self.chance = random.Random(seed)  # of what all see alike: every worker draws the same
         endpoint = endpoint or (lambda k: f"10.{k >> 16}.{k >> 8 & 255}.{k & 255}:8080")
         self.names = [f"task-{k:05x}" for k in range(size.tasks)]
-        self.entries = {name: {"uid": name, "endpoint": endpoint(k), "az": ZONE_NAMES[k % size.zones], "model": "m1",
-                               "pod_group": k % 64, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
-                        for k, name in enumerate(self.names)}
+        self.entries = {
+            name: {
+                "uid": name,
+                "endpoint": endpoint(k),
+                "az": ZONE_NAMES[k % size.zones],
+                "model": "m1",
+                "pod_group": k % 64,
+                "state": "in_service",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for k, name in enumerate(self.names)
+        }
         self.started, self.offered, self.due = {}, Counter(), []
         # What all slices together bring, in even parts, fills warm tasks to their usual load.
         self.capacity = REQUESTS_A_SLICE * size.slices * size.assigners / size.tasks / USUAL_LOAD
@@ -74,8 +102,9 @@
     def load(self, own: Counter):
         """What the assigners that run send to each task; those that do not run send theirs in even parts."""
         others = self.requests() * self.size.slices * (self.size.assigners - self.size.hollow)
-        ready = [n for n in self.names if self.entries[n]["state"] == "in_service"
-                 and self.now - self.started.get(n, -1e12) >= COLD_MS]
+        ready = [
+            n for n in self.names if self.entries[n]["state"] == "in_service" and self.now - self.started.get(n, -1e12) >= COLD_MS
+        ]
         self.offered = Counter(own)
         for name in ready:
             self.offered[name] += others / len(ready)
--- a/havendyke/lab/scale/guard.py
+++ b/havendyke/lab/scale/guard.py
@@ -1,4 +1,5 @@
 """The limits of a run, checked while it runs: time, processes and memory."""
+
 import os
 import time
 from dataclasses import dataclass
--- a/havendyke/lab/scale/hollow.py
+++ b/havendyke/lab/scale/hollow.py
@@ -1,4 +1,5 @@
 """One hollow assigner: the product's state machines and decisions on a simulated clock, counted at its connections."""
+
 from collections import Counter
 
 import orjson
@@ -13,8 +14,8 @@
 from .size import ZONE_NAMES
 from .standins import ScaleRegistry, ScaleRelay
 
-FIRST_MS = 1000.0   # the laboratory's clock at a start
-UNIX_MS = 5000.0    # what it lacks to Unix time
+FIRST_MS = 1000.0  # the laboratory's clock at a start
+UNIX_MS = 5000.0  # what it lacks to Unix time
 WINDOW_MS = 1000.0  # between a collector's reports
 REJOIN_MS = (500.0, 2500.0)  # till a proxy that lost its stream has joined anew
 PARTS = {"judge": "judge", "shed": "shed", "plan": "plan", "emit": "emit", "ask_around": "ask"}  # of a turn
@@ -68,14 +69,24 @@
         self.fleet, self.number, self.meter, self.next_line = fleet, number, Meter(), 0
         self.absent, self.asked, self.collectors = set(), Counter(), {}
         self.chance = fleet.own_chance(number)
-        raw = {"name": f"assigner-{number}", "listen": "127.0.0.1:8443", "discovery": "127.0.0.1:8500",
-               "seed": f"{1 + 7919 * number:x}", "distributor": {"address": "127.0.0.1:6400"},
-               "settings": settings(fleet.size, number)}
-        super().__init__(lambda hub: Assigner(config.read_config(raw, {}), hub), fleet.store(number), fleet.entries,
-                         range(fleet.size.proxies), hub=MeteredHub(self.meter))
+        raw = {
+            "name": f"assigner-{number}",
+            "listen": "127.0.0.1:8443",
+            "discovery": "127.0.0.1:8500",
+            "seed": f"{1 + 7919 * number:x}",
+            "distributor": {"address": "127.0.0.1:6400"},
+            "settings": settings(fleet.size, number),
+        }
+        super().__init__(
+            lambda hub: Assigner(config.read_config(raw, {}), hub),
+            fleet.store(number),
+            fleet.entries,
+            range(fleet.size.proxies),
+            hub=MeteredHub(self.meter),
+        )
         self.measure_turns()
         self.assigner.start()
-        for zone in ZONE_NAMES[:fleet.size.zones]:
+        for zone in ZONE_NAMES[: fleet.size.zones]:
             self.collector(zone)
 
     def now(self) -> float:
@@ -126,26 +137,51 @@
             self.next_line = (self.next_line + 1) % len(lines)
             zone, line = lines[self.next_line]
             sent.setdefault(zone, []).append(line)
-        for place, zone in enumerate(ZONE_NAMES[:size.zones]):
+        for place, zone in enumerate(ZONE_NAMES[: size.zones]):
             if zone in sent:
                 self.after(WINDOW_MS * place / size.zones, lambda z=zone: self.bring(z, sent[z]))
 
     def report_lines(self) -> list:
         fleet, made = self.fleet, []
-        zones, window = ZONE_NAMES[:fleet.size.zones], str(WINDOW_MS)
+        zones, window = ZONE_NAMES[: fleet.size.zones], str(WINDOW_MS)
         for piece in sorted(self.relay.given):
             for kind in range(fleet.size.classes):
                 count = str(round(fleet.requests() / fleet.size.classes))
-                made.append((zones[piece % len(zones)], encode("SHARD", "partition", str(piece), "kind", f"class{kind}",
-                                                                "n", count, "bad", "0", "window", window)))
+                made.append(
+                    (
+                        zones[piece % len(zones)],
+                        encode(
+                            "SHARD", "partition", str(piece), "kind", f"class{kind}", "n", count, "bad", "0", "window", window
+                        ),
+                    )
+                )
             for host in sorted(self.relay.store[piece]):
                 if host in self.relay.shut_out or fleet.entries[host]["state"] != "in_service":
                     continue
                 for zone in zones:
                     count = str(max(1, round(fleet.offered[host] / len(zones))))
-                    made.append((zone, encode("LOAD", "az", zone, "host", host, "n", count, "bad", "0", "avg",
-                                              f"{fleet.latency(host):.1f}", "window", window, "report",
-                                              f"inflight:{round(8 * fleet.fullness(host))},util:{fleet.fullness(host):.2f}")))
+                    made.append(
+                        (
+                            zone,
+                            encode(
+                                "LOAD",
+                                "az",
+                                zone,
+                                "host",
+                                host,
+                                "n",
+                                count,
+                                "bad",
+                                "0",
+                                "avg",
+                                f"{fleet.latency(host):.1f}",
+                                "window",
+                                window,
+                                "report",
+                                f"inflight:{round(8 * fleet.fullness(host))},util:{fleet.fullness(host):.2f}",
+                            ),
+                        )
+                    )
         return made
 
     def offers(self) -> Counter:
--- a/havendyke/lab/scale/meter.py
+++ b/havendyke/lab/scale/meter.py
@@ -1,4 +1,5 @@
 """Counts what crosses an assigner's connections, and the processor time that each activity takes."""
+
 import sys
 from collections import Counter
 from pathlib import Path
@@ -40,12 +41,14 @@
 
     def timed(self, activity: str, call):
         """`call`, its processor time charged to the activity."""
+
         def run(*arguments):
             self.enter(activity)
             try:
                 return call(*arguments)
             finally:
                 self.leave()
+
         return run
 
     def enter(self, activity: str):
@@ -63,10 +66,18 @@
 
     def take(self) -> dict:
         """What was counted since the last call, as plain values."""
-        made = {"traffic": {kind: {f"{way}_{unit}": counts[kind, way] for way in (IN, OUT)
-                                   for unit, counts in (("bytes", self.bytes), ("messages", self.messages))}
-                            for kind in KINDS},
-                "cpu_ms": {name: 1000.0 * spent for name, spent in self.cpu.items()}, "calls": dict(self.calls)}
+        made = {
+            "traffic": {
+                kind: {
+                    f"{way}_{unit}": counts[kind, way]
+                    for way in (IN, OUT)
+                    for unit, counts in (("bytes", self.bytes), ("messages", self.messages))
+                }
+                for kind in KINDS
+            },
+            "cpu_ms": {name: 1000.0 * spent for name, spent in self.cpu.items()},
+            "calls": dict(self.calls),
+        }
         for counts in (self.bytes, self.messages, self.cpu, self.calls):
             counts.clear()
         return made
--- a/havendyke/lab/scale/page.py
+++ b/havendyke/lab/scale/page.py
@@ -1,4 +1,5 @@
 """The tables of docs/CAPACITY.md and docs/design/capacity.md, written from the records between their marks."""
+
 import math
 import re
 from pathlib import Path
@@ -17,15 +18,36 @@
     "calls": ("changed lines only, one push a second", "in force"),
 }
 ROLE_MECHANISMS = {
-    "proxy": "changed lines only, each push once", "relay and store": "one call a push; news to each assigner twice",
-    "discovery": "changes since a version to each agent", "discovery's agent": "whole lists and watches on the assigner's machine",
-    "collector": "each line to each assigner that holds the slice or names the task", "task": "5 probes a second from all together",
-    "control machine": "relay, store and discovery in even parts on six", "operator's tools": "the log, with limits a second",
+    "proxy": "changed lines only, each push once",
+    "relay and store": "one call a push; news to each assigner twice",
+    "discovery": "changes since a version to each agent",
+    "discovery's agent": "whole lists and watches on the assigner's machine",
+    "collector": "each line to each assigner that holds the slice or names the task",
+    "task": "5 probes a second from all together",
+    "control machine": "relay, store and discovery in even parts on six",
+    "operator's tools": "the log, with limits a second",
 }
 CHECKED = ("bytes", "list/bytes", "reports/bytes", "probes/bytes", "news/bytes", "messages", "cpu")
-SLOPES = ("calm/list/bytes", "calm/reports/bytes", "calm/probes/bytes", "calm/bytes", "calm/messages", "calm/cpu",
-          "calm/cpu/judge", "calm/cpu/plan", "release/watch/bytes", "release/news/bytes", "release/bytes", "release/cpu",
-          "zone/news/bytes", "zone/bytes", "zone/cpu", "start/bytes", "start/cpu", "memory")
+SLOPES = (
+    "calm/list/bytes",
+    "calm/reports/bytes",
+    "calm/probes/bytes",
+    "calm/bytes",
+    "calm/messages",
+    "calm/cpu",
+    "calm/cpu/judge",
+    "calm/cpu/plan",
+    "release/watch/bytes",
+    "release/news/bytes",
+    "release/bytes",
+    "release/cpu",
+    "zone/news/bytes",
+    "zone/bytes",
+    "zone/cpu",
+    "start/bytes",
+    "start/cpu",
+    "memory",
+)
 
 
 class BadPage(ValueError):
@@ -59,22 +81,37 @@
         self.capacity, self.size = roles.Capacity(self.models, records), roles.target()
 
     def blocks(self) -> dict:
-        return {"text": self.text(), "assumptions": self.assumptions(), "assigner": self.assigner(), "kinds": self.kinds(),
-                "activities": self.activities(), "roles": self.roles(), "fleets": self.fleets(), "beside": self.beside(),
-                "slopes": self.slopes(), "held-out": self.held_out(), "ranges": self.ranges(), "factors": self.factors(),
-                "ranking": self.ranking()}
+        return {
+            "text": self.text(),
+            "assumptions": self.assumptions(),
+            "assigner": self.assigner(),
+            "kinds": self.kinds(),
+            "activities": self.activities(),
+            "roles": self.roles(),
+            "fleets": self.fleets(),
+            "beside": self.beside(),
+            "slopes": self.slopes(),
+            "held-out": self.held_out(),
+            "ranges": self.ranges(),
+            "factors": self.factors(),
+            "ranking": self.ranking(),
+        }
 
     def text(self) -> str:
         first = self.records[0]
         machine = first["machine"]
         commits = sorted({r["text"]["commit"] for r in self.records})
-        return (f"{len(self.records)} records, text {', '.join(commits)} (measured files {first['text']['sources']}), seeds "
-                f"{sorted({r['seed'] for r in self.records})}, {machine['cores']} cores, {machine['memory_gb']} GB, "
-                f"Python {machine['python']}.")
+        return (
+            f"{len(self.records)} records, text {', '.join(commits)} (measured files {first['text']['sources']}), seeds "
+            f"{sorted({r['seed'] for r in self.records})}, {machine['cores']} cores, {machine['memory_gb']} GB, "
+            f"Python {machine['python']}."
+        )
 
     def assumptions(self) -> str:
-        return table(["assumption", "value", "range", "why"],
-                     [[a.name, figure(a.value), f"{figure(a.least)} to {figure(a.most)}", a.why] for a in roles.ASSUMPTIONS])
+        return table(
+            ["assumption", "value", "range", "why"],
+            [[a.name, figure(a.value), f"{figure(a.least)} to {figure(a.most)}", a.why] for a in roles.ASSUMPTIONS],
+        )
 
     def assigner(self) -> str:
         direct = self.nearest()
@@ -82,32 +119,64 @@
         for phase, said in roles.SITUATIONS.items():
             load = self.capacity.assigner(phase, self.size)
             run = values[f"{phase}/cpu"] * self.capacity.cpu_ratio
-            rows.append([said, figure(load.messages), figure(load.bytes), share(load.bytes, roles.BYTES_BUDGET),
-                         figure(values[f"{phase}/bytes"]), figure(load.cpu_ms), share(load.cpu_ms, roles.CPU_BUDGET_MS), figure(run)])
+            rows.append(
+                [
+                    said,
+                    figure(load.messages),
+                    figure(load.bytes),
+                    share(load.bytes, roles.BYTES_BUDGET),
+                    figure(values[f"{phase}/bytes"]),
+                    figure(load.cpu_ms),
+                    share(load.cpu_ms, roles.CPU_BUDGET_MS),
+                    figure(run),
+                ]
+            )
         memory, ran = self.capacity.memory_mb, direct["size"]
-        return (table(["situation", "messages/s", "bytes/s", "of 13 KB/s", "bytes/s, run", "ms of a core/s", "of 4 % of a core",
-                       "ms/s, run"], rows)
-                + f"\n\n*Run*: measured at `{direct['point']}` ({ran['tasks']} tasks, {ran['slices']} slices, {ran['proxies']} proxies, "
-                f"{ran['assigners']} assigners of which {ran['hollow']} ran, {ran['reports']} reports a second). Memory of a real one at "
-                f"`{self.capacity.memory_point}`: {memory:.0f} MB, {share(memory, roles.MEMORY_BUDGET_MB)} of 128 MB.")
+        return (
+            table(
+                [
+                    "situation",
+                    "messages/s",
+                    "bytes/s",
+                    "of 13 KB/s",
+                    "bytes/s, run",
+                    "ms of a core/s",
+                    "of 4 % of a core",
+                    "ms/s, run",
+                ],
+                rows,
+            )
+            + f"\n\n*Run*: measured at `{direct['point']}` ({ran['tasks']} tasks, {ran['slices']} slices, "
+            f"{ran['proxies']} proxies, {ran['assigners']} assigners of which {ran['hollow']} ran, {ran['reports']} reports a second). "
+            f"Memory of a real one at `{self.capacity.memory_point}`: {memory:.0f} MB, {share(memory, roles.MEMORY_BUDGET_MB)} of 128 MB."
+        )
 
     def nearest(self) -> dict:
         """The record whose size is the nearest to the target's, by factors."""
-        return min(self.records, key=lambda r: sum(abs(math.log(r["size"][axis] / self.size[axis])) for axis in (
-            "tasks", "slices", "proxies", "assigners", "reports")))
+        return min(
+            self.records,
+            key=lambda r: sum(
+                abs(math.log(r["size"][axis] / self.size[axis]))
+                for axis in ("tasks", "slices", "proxies", "assigners", "reports")
+            ),
+        )
 
     def kinds(self) -> str:
         rows = []
         for kind in KINDS:
             values = {phase: self.capacity.of(phase, kind, "bytes", self.size) for phase in ("calm", "release", "zone", "start")}
-            rows.append([kind, *(figure(v) for v in values.values()), share(values["calm"], roles.BYTES_BUDGET), *MECHANISMS[kind]])
+            rows.append(
+                [kind, *(figure(v) for v in values.values()), share(values["calm"], roles.BYTES_BUDGET), *MECHANISMS[kind]]
+            )
         return table(["kind", "calm, bytes/s", "release", "zone lost", "restart", "calm of 13 KB/s", "mechanism", "state"], rows)
 
     def activities(self) -> str:
         rows = []
         for part in PARTS:
-            values = [self.capacity.cpu_ratio * self.capacity.at(f"{phase}/cpu/{part}", self.size)
-                      for phase in ("calm", "release", "zone", "start")]
+            values = [
+                self.capacity.cpu_ratio * self.capacity.at(f"{phase}/cpu/{part}", self.size)
+                for phase in ("calm", "release", "zone", "start")
+            ]
             rows.append([part, *map(figure, values), share(values[0], roles.CPU_BUDGET_MS)])
         return table(["activity", "calm, ms/s", "release", "zone lost", "restart", "calm of 40 ms/s"], rows)
 
@@ -124,21 +193,55 @@
         for r in sorted((r for r in self.records if r["role"] == "fleet"), key=lambda r: r["size"]["assigners"]):
             for phase in ("release", "zone", "region"):
                 p, times = r["phases"][phase], r["phases"][phase]["taken_ms"]
-                rows.append([r["size"]["assigners"], r["size"]["tasks"], roles.SITUATIONS[phase], times["count"],
-                             *(times.get(k, "-") for k in ("median", "p99", "last")), p["unfinished"], figure(p["asked_most"]),
-                             figure(p["fullest_fresh"]) if phase == "release" else "-"])
-        return table(["assigners, all run", "tasks", "situation", "orders", "median, ms", "99th", "last", "not carried out",
-                      "probes/s at one task", "fullest fresh task"], rows)
+                rows.append(
+                    [
+                        r["size"]["assigners"],
+                        r["size"]["tasks"],
+                        roles.SITUATIONS[phase],
+                        times["count"],
+                        *(times.get(k, "-") for k in ("median", "p99", "last")),
+                        p["unfinished"],
+                        figure(p["asked_most"]),
+                        figure(p["fullest_fresh"]) if phase == "release" else "-",
+                    ]
+                )
+        return table(
+            [
+                "assigners, all run",
+                "tasks",
+                "situation",
+                "orders",
+                "median, ms",
+                "99th",
+                "last",
+                "not carried out",
+                "probes/s at one task",
+                "fullest fresh task",
+            ],
+            rows,
+        )
 
     def beside(self) -> str:
         rows = []
         for r in (r for r in self.records if "real" in r):
             real = r["real"]
-            ratios = [f"{kind} {real[f'{kind}_bytes_real_over_hollow']:.3f}" for kind in KINDS
-                      if f"{kind}_bytes_real_over_hollow" in real]
+            ratios = [
+                f"{kind} {real[f'{kind}_bytes_real_over_hollow']:.3f}"
+                for kind in KINDS
+                if f"{kind}_bytes_real_over_hollow" in real
+            ]
             counts = [real[f"{kind}_messages_real_over_hollow"] for kind in KINDS if f"{kind}_messages_real_over_hollow" in real]
-            rows.append([r["point"], real["count"], ", ".join(ratios), f"{min(counts):.2f} to {max(counts):.2f}",
-                         figure(real["cpu_ms"]), f"{real['cpu_real_over_hollow']:.2f}", figure(real["memory_mb"])])
+            rows.append(
+                [
+                    r["point"],
+                    real["count"],
+                    ", ".join(ratios),
+                    f"{min(counts):.2f} to {max(counts):.2f}",
+                    figure(real["cpu_ms"]),
+                    f"{real['cpu_real_over_hollow']:.2f}",
+                    figure(real["memory_mb"]),
+                ]
+            )
         return table(["point", "real ones", "bytes, real over hollow", "messages", "real, ms/s", "over hollow", "real, MB"], rows)
 
     def slopes(self) -> str:
@@ -146,8 +249,19 @@
         for metric in SLOPES:
             model = self.models[metric]
             for curve in model.curves.values():
-                rows.append([f"`{metric}`", curve.axis, curve.form, figure(curve.slope), f"{figure(curve.low)} to {figure(curve.high)}",
-                             figure(curve.intercept), figure(curve.residual), curve.points, model.combine])
+                rows.append(
+                    [
+                        f"`{metric}`",
+                        curve.axis,
+                        curve.form,
+                        figure(curve.slope),
+                        f"{figure(curve.low)} to {figure(curve.high)}",
+                        figure(curve.intercept),
+                        figure(curve.residual),
+                        curve.points,
+                        model.combine,
+                    ]
+                )
         return table(["figure", "axis", "form", "slope", "interval", "intercept", "residual", "sizes", "axes as"], rows)
 
     def checked(self) -> list:
@@ -158,17 +272,25 @@
         told = self.checked()
         failed = [c for c in told if not c.passed]
         said = f"{len(told) - len(failed)} of {len(told)} predictions within 25 % or within 1 % of a budget. Beyond:\n\n"
-        return said + table(["point", "figure", "measured", "predicted", "miss"], [
-            [c.point, f"`{c.metric}`", figure(c.measured), figure(c.predicted), f"{100 * c.miss:+.0f} %"] for c in failed])
+        return said + table(
+            ["point", "figure", "measured", "predicted", "miss"],
+            [[c.point, f"`{c.metric}`", figure(c.measured), figure(c.predicted), f"{100 * c.miss:+.0f} %"] for c in failed],
+        )
 
     def ranges(self) -> str:
         rows = []
-        for name, assumption in (("proxies", roles.PROXIES), ("reports", roles.REPORTS), ("slices", roles.SLICES),
-                                 ("classes", roles.CLASSES)):
+        for name, assumption in (
+            ("proxies", roles.PROXIES),
+            ("reports", roles.REPORTS),
+            ("slices", roles.SLICES),
+            ("classes", roles.CLASSES),
+        ):
             for value in (assumption.least, assumption.value, assumption.most):
                 size = {**self.size, name: value}
                 calm, zone = (self.capacity.assigner(phase, size) for phase in ("calm", "zone"))
-                rows.append([name, figure(value), figure(calm.bytes), figure(calm.cpu_ms), figure(zone.bytes), figure(zone.cpu_ms)])
+                rows.append(
+                    [name, figure(value), figure(calm.bytes), figure(calm.cpu_ms), figure(zone.bytes), figure(zone.cpu_ms)]
+                )
         return table(["assumption", "value", "calm, bytes/s", "ms/s", "zone lost, bytes/s", "ms/s"], rows)
 
     def factors(self) -> str:
@@ -184,19 +306,43 @@
         rows = []
         for c in sorted(roles.CANDIDATES, key=lambda c: -c.weight(self.capacity, self.size)):
             met, now = c.met_at(self.capacity), c.share(self.capacity, roles.on_the_way(0.0))
-            rows.append([c.name, roles.SITUATIONS[c.phase], f"{figure(c.value(self.capacity, self.size))} {c.unit}/s", f"{c.share(self.capacity, self.size):.2f}",
-                         f"{c.part:.1g}", f"{now:.2f}", f"{met[0]:.0f} and {met[1]:.0f}" if met else "not on the way", c.harm,
-                         c.mechanism])
-        return table(["candidate", "situation", "at the target", "share of budget", "part of the time", "share at 5 and 200",
-                      "all of it at assigners and tasks", "harm", "what is missing"], rows)
+            rows.append(
+                [
+                    c.name,
+                    roles.SITUATIONS[c.phase],
+                    f"{figure(c.value(self.capacity, self.size))} {c.unit}/s",
+                    f"{c.share(self.capacity, self.size):.2f}",
+                    f"{c.part:.1g}",
+                    f"{now:.2f}",
+                    f"{met[0]:.0f} and {met[1]:.0f}" if met else "not on the way",
+                    c.harm,
+                    c.mechanism,
+                ]
+            )
+        return table(
+            [
+                "candidate",
+                "situation",
+                "at the target",
+                "share of budget",
+                "part of the time",
+                "share at 5 and 200",
+                "all of it at assigners and tasks",
+                "harm",
+                "what is missing",
+            ],
+            rows,
+        )
 
 
 def written(page: str, blocks: dict) -> str:
     """The page with each marked part replaced."""
+
     def replace(found):
         if found["name"] not in blocks:
             raise BadPage(f"no table is named '{found['name']}'")
         return f"<!-- begin {found['name']} -->\n{blocks[found['name']]}\n<!-- end {found['name']} -->"
+
     if not MARK.search(page):
         raise BadPage("a page without a marked table")
     return MARK.sub(replace, page)
--- a/havendyke/lab/scale/plot.py
+++ b/havendyke/lab/scale/plot.py
@@ -1,4 +1,5 @@
 """A picture of one figure along every axis that moves it: what was measured, and the curve."""
+
 from pathlib import Path
 
 import matplotlib
@@ -20,7 +21,9 @@
     """Draws a metric's curves into a new file."""
     models = fit.models(records)
     if metric not in models:
-        raise NoSuchFigure(f"no figure is named '{metric[:60]}'; there are calm/bytes, calm/cpu, release/news/bytes, memory and such")
+        raise NoSuchFigure(
+            f"no figure is named '{metric[:60]}'; there are calm/bytes, calm/cpu, release/news/bytes, memory and such"
+        )
     if Path(path).exists():
         raise NoSuchFigure(f"{path}: there is a file already; nothing was overwritten")
     curves = models[metric].curves
--- a/havendyke/lab/scale/real.py
+++ b/havendyke/lab/scale/real.py
@@ -3,6 +3,7 @@
 It goes through the start and a calm span alone: what it spends there, and what crosses its sockets, checks the hollow
 ones' figures, which take the place of a whole fleet's.
 """
+
 import asyncio
 import json
 import os
@@ -66,14 +67,24 @@
         self.registry = ScaleRegistry(self, self.fleet.entries)
         ports = [await self.listen(kind) for kind in (RelayPeer, RegistryPeer)]
         listen = await self.free_port()
-        raw = {"name": f"assigner-{self.number}", "listen": f"127.0.0.1:{listen}", "seed": f"{1 + 7919 * self.number:x}",
-               "discovery": f"127.0.0.1:{ports[1]}", "distributor": {"address": f"127.0.0.1:{ports[0]}"},
-               "settings": settings(self.fleet.size, self.number), "limits": {"memory_mb": 128, "sockets": 1024}}
+        raw = {
+            "name": f"assigner-{self.number}",
+            "listen": f"127.0.0.1:{listen}",
+            "seed": f"{1 + 7919 * self.number:x}",
+            "discovery": f"127.0.0.1:{ports[1]}",
+            "distributor": {"address": f"127.0.0.1:{ports[0]}"},
+            "settings": settings(self.fleet.size, self.number),
+            "limits": {"memory_mb": 128, "sockets": 1024},
+        }
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(raw))
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "havendyke", "--config", str(path)], stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, env={**os.environ, "PYTHONHASHSEED": "0"})
+            [sys.executable, "-m", "havendyke", "--config", str(path)],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "PYTHONHASHSEED": "0"},
+        )
         await self.join_collectors(listen)
 
     async def free_port(self) -> int:
@@ -86,6 +97,7 @@
     async def listen(self, make) -> int:
         async def serve(reader, writer):
             await self.serve(make(self, SocketConnection(writer)), reader, writer)
+
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.servers.append(server)
         return server.sockets[0].getsockname()[1]
@@ -130,7 +142,7 @@
 
     async def join_collectors(self, port: int):
         end = time.monotonic() + LISTEN_S
-        for zone in ZONE_NAMES[:self.fleet.size.zones]:
+        for zone in ZONE_NAMES[: self.fleet.size.zones]:
             while zone not in self.collectors:
                 try:
                     _, self.collectors[zone] = await asyncio.open_connection("127.0.0.1", port)
@@ -186,9 +198,12 @@
         await asyncio.sleep(min(0.5, seconds))
     used, took = process.cpu_times(), time.monotonic() - began
     traffic = assigner.meter.take()["traffic"]
-    return {"cpu_ms": round(1000 * (used.user + used.system - before) / took, 3),
-            "memory_mb": round(process.memory_info().rss / MB, 2), "yardstick_ms": yardstick.take(),
-            "traffic": {kind: {name: round(n / took, 2) for name, n in traffic[kind].items()} for kind in KINDS}}
+    return {
+        "cpu_ms": round(1000 * (used.user + used.system - before) / took, 3),
+        "memory_mb": round(process.memory_info().rss / MB, 2),
+        "yardstick_ms": yardstick.take(),
+        "traffic": {kind: {name: round(n / took, 2) for name, n in traffic[kind].items()} for kind in KINDS},
+    }
 
 
 async def _measure(size: Size, seed: int, count: int, guard: Guard, spans: tuple) -> list:
--- a/havendyke/lab/scale/record.py
+++ b/havendyke/lab/scale/record.py
@@ -1,4 +1,5 @@
 """One JSON record a run: written once, never over another, and checked when it is read."""
+
 import hashlib
 import json
 import os
@@ -11,8 +12,18 @@
 FORM = "havendyke scale 1"
 PRODUCT = Path(__file__).parents[2]
 MEASURED = ("*.py", "net/*.py")  # the product's files whose cost a run measures
-FIELDS = {"form": str, "point": str, "role": str, "seed": int, "size": dict, "workers": int, "machine": dict, "text": dict,
-          "phases": dict, "memory_mb": dict}
+FIELDS = {
+    "form": str,
+    "point": str,
+    "role": str,
+    "seed": int,
+    "size": dict,
+    "workers": int,
+    "machine": dict,
+    "text": dict,
+    "phases": dict,
+    "memory_mb": dict,
+}
 GB = 1 << 30
 
 
@@ -22,8 +33,7 @@
 
 def machine() -> dict:
     """What a figure depends on; nothing that names the machine."""
-    return {"cores": os.cpu_count(), "memory_gb": round(psutil.virtual_memory().total / GB),
-            "python": platform.python_version()}
+    return {"cores": os.cpu_count(), "memory_gb": round(psutil.virtual_memory().total / GB), "python": platform.python_version()}
 
 
 def text() -> dict:
--- a/havendyke/lab/scale/roles.py
+++ b/havendyke/lab/scale/roles.py
@@ -1,4 +1,5 @@
 """What each role has to carry at the operators' target, from the models of one assigner; every assumption by name."""
+
 from dataclasses import dataclass
 
 # The operators' letter of 2026-12-02.
@@ -8,13 +9,20 @@
 MINUTES_A_DAY = 1_440
 TODAY = {"tasks": 200, "assigners": 5}  # the largest fleet that the bench has played
 
-SITUATIONS = {"calm": "calm", "peak": "at the peak", "release": "a rack in 7 s", "zone": "a zone lost",
-              "region": "a region lost", "start": "whole restart"}
+SITUATIONS = {
+    "calm": "calm",
+    "peak": "at the peak",
+    "release": "a rack in 7 s",
+    "zone": "a zone lost",
+    "region": "a region lost",
+    "start": "whole restart",
+}
 
 
 @dataclass(frozen=True)
 class Assumption:
     """What the letter leaves open: the value gone by, and the range in which it may lie."""
+
     name: str
     value: float
     least: float
@@ -23,10 +31,17 @@
 
 
 PROXIES = Assumption("proxies joined to each assigner", 780, 100, 6_200, "one beside each assigner; one beside each task at most")
-SLICES = Assumption("slices held by an assigner", ROUTES / ASSIGNERS, 11, 34, "one a route, held by one assigner; by three at most")
+SLICES = Assumption(
+    "slices held by an assigner", ROUTES / ASSIGNERS, 11, 34, "one a route, held by one assigner; by three at most"
+)
 CLASSES = Assumption("classes of requests", 2, 1, 8, "as the sites played have them")
-REPORTS = Assumption("lines of collectors a second at an assigner", SLICES.value * (2 * ZONES + CLASSES.value), 40, 800,
-                     "each second, a line a slice and class, and one a zone for each task that a line names (owner and spare)")
+REPORTS = Assumption(
+    "lines of collectors a second at an assigner",
+    SLICES.value * (2 * ZONES + CLASSES.value),
+    40,
+    800,
+    "each second, a line a slice and class, and one a zone for each task that a line names (owner and spare)",
+)
 ENTRY = Assumption("bytes of an entry of the list", 139, 100, 300, "as our stand-in writes the protocol's fields")
 LINE = Assumption("bytes of a line at a proxy", 80, 60, 200, "as the relay's call words it")
 LINES = Assumption("lines of a table", 2, 1, 4, "an owner and a spare")
@@ -38,8 +53,16 @@
 
 def target() -> dict:
     """The letter's size in the axes of a run."""
-    return {"tasks": TASKS, "slices": SLICES.value, "proxies": PROXIES.value, "assigners": ASSIGNERS, "zones": ZONES,
-            "classes": CLASSES.value, "changes": RESTARTS_A_DAY / MINUTES_A_DAY, "reports": REPORTS.value}
+    return {
+        "tasks": TASKS,
+        "slices": SLICES.value,
+        "proxies": PROXIES.value,
+        "assigners": ASSIGNERS,
+        "zones": ZONES,
+        "classes": CLASSES.value,
+        "changes": RESTARTS_A_DAY / MINUTES_A_DAY,
+        "reports": REPORTS.value,
+    }
 
 
 def on_the_way(part: float) -> dict:
@@ -53,6 +76,7 @@
 @dataclass(frozen=True)
 class Load:
     """What a role carries in one situation; `cpu_ms` None: its processor time is not the program's."""
+
     role: str
     situation: str
     messages: float
@@ -92,31 +116,62 @@
             return sum(self.of(phase, kind, unit, size) for kind in kinds)
 
         at_proxy = Load("proxy", phase, pushes, orders * LINE.value, None)
-        relay = Load("relay and store", phase, count * both("messages", "news", "calls") + pushes * size["proxies"],
-                     count * both("bytes", "news", "calls") + size["proxies"] * at_proxy.bytes, None)
+        relay = Load(
+            "relay and store",
+            phase,
+            count * both("messages", "news", "calls") + pushes * size["proxies"],
+            count * both("bytes", "news", "calls") + size["proxies"] * at_proxy.bytes,
+            None,
+        )
         agent = Load("discovery's agent", phase, both("messages", "list", "watch"), both("bytes", "list", "watch"), None)
-        discovery = Load("discovery", phase, count * self.of(phase, "watch", "messages", size) / 2,
-                         count * (self.of(phase, "watch", "bytes", size) / 2), None)
-        collector = Load("collector", phase, count * both("messages", "reports") / size["zones"],
-                         count * both("bytes", "reports") / size["zones"], None)
-        control = Load("control machine", phase, (relay.messages + discovery.messages) / CONTROL_MACHINES,
-                       (relay.bytes + discovery.bytes) / CONTROL_MACHINES, None)
-        tools = Load("operator's tools", phase, count * self.at(f"{phase}/log_lines", size),
-                     count * self.at(f"{phase}/log_bytes", size), None)
-        task = Load("task", phase, count * both("messages", "probes") / size["tasks"],
-                    count * both("bytes", "probes") / size["tasks"], None)
+        discovery = Load(
+            "discovery",
+            phase,
+            count * self.of(phase, "watch", "messages", size) / 2,
+            count * (self.of(phase, "watch", "bytes", size) / 2),
+            None,
+        )
+        collector = Load(
+            "collector",
+            phase,
+            count * both("messages", "reports") / size["zones"],
+            count * both("bytes", "reports") / size["zones"],
+            None,
+        )
+        control = Load(
+            "control machine",
+            phase,
+            (relay.messages + discovery.messages) / CONTROL_MACHINES,
+            (relay.bytes + discovery.bytes) / CONTROL_MACHINES,
+            None,
+        )
+        tools = Load(
+            "operator's tools",
+            phase,
+            count * self.at(f"{phase}/log_lines", size),
+            count * self.at(f"{phase}/log_bytes", size),
+            None,
+        )
+        task = Load(
+            "task",
+            phase,
+            count * both("messages", "probes") / size["tasks"],
+            count * both("bytes", "probes") / size["tasks"],
+            None,
+        )
         return [at_proxy, relay, discovery, agent, collector, task, control, tools]
 
 
 @dataclass(frozen=True)
 class Candidate:
     """A mechanism that may be missing: what it would carry, against which budget."""
+
     name: str
     phase: str
     metrics: tuple
     budget: float
-    unit: str           # "bytes", or "ms" of a real assigner
-    part: float         # of the time, that the situation lasts
+    unit: str  # "bytes", or "ms" of a real assigner
+    part: float  # of the time, that the situation lasts
     harm: str
     mechanism: str
 
@@ -144,19 +199,67 @@
 ALWAYS, A_MINUTE_A_RACK, TWICE_A_YEAR = 1.0, 1 / (7 * MINUTES_A_DAY), 2 / (365 * MINUTES_A_DAY)
 TURN = tuple(f"calm/cpu/{part}" for part in ("judge", "shed", "plan", "emit", "ask", "turn"))
 CANDIDATES = (
-    Candidate("list", "calm", ("calm/list/bytes",), BYTES_BUDGET, "bytes", ALWAYS,
-              "the whole budget many times over, at each assigner; the agent has to hand out all of it",
-              "a look at what changed, in place of the whole list each 3 s"),
-    Candidate("turns", "calm", TURN, CPU_BUDGET_MS, "ms", ALWAYS, "looks come late, and drains with them",
-              "looks at what changed (dirty sets, timers) in place of all tasks"),
-    Candidate("reports", "calm", ("calm/reports/bytes",), BYTES_BUDGET, "bytes", ALWAYS, "collectors send each line to each that names a task",
-              "sampling with known weight, or sums by the collectors"),
-    Candidate("probes", "calm", ("calm/probes/bytes",), BYTES_BUDGET, "bytes", ALWAYS, "connections beside the bytes; a task is asked 5 times a second",
-              "fewer probes of tasks that no line names"),
-    Candidate("answers", "zone", ("zone/news/bytes",), BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the relay's watches fall behind and are cut off",
-              "answers summed up by the relay, once and not on each watch"),
-    Candidate("answers in a release", "release", ("release/news/bytes",), BYTES_BUDGET, "bytes", A_MINUTE_A_RACK,
-              "as above", "as above"),
-    Candidate("start", "start", ("start/bytes",), BYTES_BUDGET, "bytes", TWICE_A_YEAR, "the list comes three times: once whole, and on both watches",
-              "resumption: what is kept on disk, then what changed since"),
+    Candidate(
+        "list",
+        "calm",
+        ("calm/list/bytes",),
+        BYTES_BUDGET,
+        "bytes",
+        ALWAYS,
+        "the whole budget many times over, at each assigner; the agent has to hand out all of it",
+        "a look at what changed, in place of the whole list each 3 s",
+    ),
+    Candidate(
+        "turns",
+        "calm",
+        TURN,
+        CPU_BUDGET_MS,
+        "ms",
+        ALWAYS,
+        "looks come late, and drains with them",
+        "looks at what changed (dirty sets, timers) in place of all tasks",
+    ),
+    Candidate(
+        "reports",
+        "calm",
+        ("calm/reports/bytes",),
+        BYTES_BUDGET,
+        "bytes",
+        ALWAYS,
+        "collectors send each line to each that names a task",
+        "sampling with known weight, or sums by the collectors",
+    ),
+    Candidate(
+        "probes",
+        "calm",
+        ("calm/probes/bytes",),
+        BYTES_BUDGET,
+        "bytes",
+        ALWAYS,
+        "connections beside the bytes; a task is asked 5 times a second",
+        "fewer probes of tasks that no line names",
+    ),
+    Candidate(
+        "answers",
+        "zone",
+        ("zone/news/bytes",),
+        BYTES_BUDGET,
+        "bytes",
+        TWICE_A_YEAR,
+        "the relay's watches fall behind and are cut off",
+        "answers summed up by the relay, once and not on each watch",
+    ),
+    Candidate(
+        "answers in a release", "release", ("release/news/bytes",), BYTES_BUDGET, "bytes", A_MINUTE_A_RACK, "as above", "as above"
+    ),
+    Candidate(
+        "start",
+        "start",
+        ("start/bytes",),
+        BYTES_BUDGET,
+        "bytes",
+        TWICE_A_YEAR,
+        "the list comes three times: once whole, and on both watches",
+        "resumption: what is kept on disk, then what changed since",
+    ),
 )
--- a/havendyke/lab/scale/run.py
+++ b/havendyke/lab/scale/run.py
@@ -1,4 +1,5 @@
 """A run from its point to its record: hollow assigners in workers, real ones beside them where asked for."""
+
 from collections import Counter
 
 from hdrh.histogram import HdrHistogram
@@ -11,7 +12,7 @@
 from .workers import Workers
 
 MOST_MS = 3_600_000  # the longest time that a histogram keeps
-A_WORKER = 100       # assigners that a worker runs, where enough are asked for
+A_WORKER = 100  # assigners that a worker runs, where enough are asked for
 DIGITS = 4
 
 
@@ -22,8 +23,12 @@
     kept = HdrHistogram(1, MOST_MS, 3)
     for ms in times:
         kept.record_value(max(1, round(ms)))
-    return {"count": len(times), "median": kept.get_value_at_percentile(50), "p99": kept.get_value_at_percentile(99),
-            "last": kept.get_max_value()}
+    return {
+        "count": len(times),
+        "median": kept.get_value_at_percentile(50),
+        "p99": kept.get_value_at_percentile(99),
+        "last": kept.get_max_value(),
+    }
 
 
 def rounded(value: float) -> float:
@@ -43,18 +48,25 @@
         counts = Counter()
         for p in parts:
             counts.update(p["traffic"][kind])
-        traffic[kind] = {name: rounded(counts[name] / seconds) for name in ("in_bytes", "in_messages", "out_bytes", "out_messages")}
-    return {"seconds": parts[0]["seconds"], "assigners": sum(p["assigners"] for p in parts), "traffic": traffic,
-            "cpu_ms": {name: rounded(spent / seconds) for name, spent in sorted(cpu.items())},
-            "turns": rounded(calls["turn"] / seconds), "looks": rounded(calls["judge"] / seconds),
-            "orders": rounded(sum(p["orders"] for p in parts) / seconds),
-            "log_bytes": rounded(sum(p["log"]["bytes"] for p in parts) / seconds),
-            "log_lines": rounded(sum(p["log"]["lines"] for p in parts) / seconds),
-            "taken_ms": spread([ms for p in parts for ms in p["taken_ms"]]),
-            "unfinished": sum(p["unfinished"] for p in parts),
-            "asked_most": rounded(max(asked.values(), default=0) / parts[0]["seconds"]),
-            "fullest_fresh": max(p["fullest_fresh"] for p in parts),
-            "yardstick_ms": rounded(sum(p["yardstick_ms"] for p in parts) / len(parts))}
+        traffic[kind] = {
+            name: rounded(counts[name] / seconds) for name in ("in_bytes", "in_messages", "out_bytes", "out_messages")
+        }
+    return {
+        "seconds": parts[0]["seconds"],
+        "assigners": sum(p["assigners"] for p in parts),
+        "traffic": traffic,
+        "cpu_ms": {name: rounded(spent / seconds) for name, spent in sorted(cpu.items())},
+        "turns": rounded(calls["turn"] / seconds),
+        "looks": rounded(calls["judge"] / seconds),
+        "orders": rounded(sum(p["orders"] for p in parts) / seconds),
+        "log_bytes": rounded(sum(p["log"]["bytes"] for p in parts) / seconds),
+        "log_lines": rounded(sum(p["log"]["lines"] for p in parts) / seconds),
+        "taken_ms": spread([ms for p in parts for ms in p["taken_ms"]]),
+        "unfinished": sum(p["unfinished"] for p in parts),
+        "asked_most": rounded(max(asked.values(), default=0) / parts[0]["seconds"]),
+        "fullest_fresh": max(p["fullest_fresh"] for p in parts),
+        "yardstick_ms": rounded(sum(p["yardstick_ms"] for p in parts) / len(parts)),
+    }
 
 
 def beside(hollow: dict, reals: list) -> dict:
@@ -63,8 +75,13 @@
     cpu, memory = (sum(r[name] for r in reals) / count for name in ("cpu_ms", "memory_mb"))
     yardstick = sum(r["yardstick_ms"] for r in reals) / count
     ratio = cpu / yardstick / (sum(hollow["cpu_ms"].values()) / hollow["yardstick_ms"])
-    made = {"count": count, "cpu_ms": rounded(cpu), "memory_mb": rounded(memory), "yardstick_ms": rounded(yardstick),
-            "cpu_real_over_hollow": rounded(ratio)}
+    made = {
+        "count": count,
+        "cpu_ms": rounded(cpu),
+        "memory_mb": rounded(memory),
+        "yardstick_ms": rounded(yardstick),
+        "cpu_real_over_hollow": rounded(ratio),
+    }
     for unit in ("bytes", "messages"):
         for kind in KINDS:
             theirs = sum(r["traffic"][kind][f"{way}_{unit}"] for r in reals for way in (IN, OUT)) / count
@@ -80,11 +97,18 @@
     guard = Guard(limits)
     told = Workers(point.size, seed, workers, guard, phases).gather()
     names = [p.name for p in phases if p.measured]
-    made = {"form": record.FORM, "point": point.name, "role": point.role, "seed": seed, "size": point.size.described(),
-            "workers": workers, "machine": record.machine(), "text": record.text(),
-            "memory_mb": {"run": round(guard.most_mb, 1),
-                          "assigner": rounded(sum(grown for _, grown in told) / len(told))},
-            "phases": {name: merged([measured[name] for measured, _ in told]) for name in names}}
+    made = {
+        "form": record.FORM,
+        "point": point.name,
+        "role": point.role,
+        "seed": seed,
+        "size": point.size.described(),
+        "workers": workers,
+        "machine": record.machine(),
+        "text": record.text(),
+        "memory_mb": {"run": round(guard.most_mb, 1), "assigner": rounded(sum(grown for _, grown in told) / len(told))},
+        "phases": {name: merged([measured[name] for measured, _ in told]) for name in names},
+    }
     if reals:
         made["real"] = beside(made["phases"]["calm"], real.measure(point.size, seed, reals, guard))
     return made
--- a/havendyke/lab/scale/standins.py
+++ b/havendyke/lab/scale/standins.py
@@ -1,4 +1,5 @@
 """The laboratory's relay and discovery, told to measure: how long a change takes to its last proxy, by zone and size."""
+
 from ..peers import Registry, Relay
 from .fleet import LINES_A_PROXY, PUSH_MS
 from .size import ZONE_NAMES
@@ -18,8 +19,7 @@
 
     def join(self, proxy, to=None):
         share = self.world.fleet.requests() * self.world.fleet.size.slices / len(self.shut)
-        self.tell("SUBSCRIBE", to, sidecar=proxy, az=self.zone(proxy), share=round(share, 2),
-                  standing=not self.shut[proxy])
+        self.tell("SUBSCRIBE", to, sidecar=proxy, az=self.zone(proxy), share=round(share, 2), standing=not self.shut[proxy])
 
     def changed(self, names: list):
         """From now on these tasks must leave the proxies' tables, where they are in them."""
--- a/havendyke/lab/scale/workers.py
+++ b/havendyke/lab/scale/workers.py
@@ -1,4 +1,5 @@
 """Hollow assigners in a few worker processes, which tell each other once a second what they send to each task."""
+
 import multiprocessing
 from collections import Counter
 
@@ -9,8 +10,8 @@
 from .guard import MB, Guard
 from .size import Size
 
-PATIENCE = 0.5   # seconds between looks at the guard
-EXACT = 1000.0   # loads are told in whole parts of this, so that their sum is the same in every order
+PATIENCE = 0.5  # seconds between looks at the guard
+EXACT = 1000.0  # loads are told in whole parts of this, so that their sum is the same in every order
 
 
 class WorkerFailed(Exception):
@@ -25,6 +26,7 @@
 
 def work(pipe, size: Size, seed: int, numbers: list, phases):
     """A worker's whole life."""
+
     def exchange(own: Counter) -> Counter:
         pipe.send({name: round(load * EXACT) for name, load in own.items()})
         return Counter({name: load / EXACT for name, load in pipe.recv().items()})
--- a/tests/lab/test_scale_tools.py
+++ b/tests/lab/test_scale_tools.py
@@ -1,4 +1,5 @@
 """The tools of a scale run: slopes of known figures, records, pages, and every wrong call as one line with status 2."""
+
 import json
 import subprocess
 import sys
@@ -29,7 +30,9 @@
 
 
 def test_effects_of_two_axes_go_together_as_the_pairs_say():
-    curves = {axis: fit.Curve(axis, "linear", 1.0, 1000.0 - getattr(Size(), axis), 0.0, 1.0, 1.0, 5) for axis in ("tasks", "proxies")}
+    curves = {
+        axis: fit.Curve(axis, "linear", 1.0, 1000.0 - getattr(Size(), axis), 0.0, 1.0, 1.0, 5) for axis in ("tasks", "proxies")
+    }
     size = {"tasks": 800, "proxies": 200}
     both = [fit.Model("calm/bytes", 1000.0, curves, how) for how in ("sum", "product")]
     assert [m.predict(size) for m in both] == pytest.approx([1500.0, 1540.0])
@@ -54,9 +57,15 @@
     assert sorted(k for numbers in told for k in numbers) == [14 * k for k in range(7)]
 
 
-@pytest.mark.parametrize("axes, said", [
-    ({"task": 5}, "no axis is named 'task'"), ({"tasks": 10 ** 8}, "goes from 8 to"), ({"zones": 1}, "goes from 2 to"),
-    ({"slices": 9999, "assigners": 4096}, "are more than 65534 tables")])
+@pytest.mark.parametrize(
+    "axes, said",
+    [
+        ({"task": 5}, "no axis is named 'task'"),
+        ({"tasks": 10**8}, "goes from 8 to"),
+        ({"zones": 1}, "goes from 2 to"),
+        ({"slices": 9999, "assigners": 4096}, "are more than 65534 tables"),
+    ],
+)
 def test_a_size_that_is_none_is_refused(axes, said):
     with pytest.raises(BadSize, match=said):
         read_size(axes)
@@ -67,12 +76,21 @@
     return status, capsys.readouterr().err
 
 
-@pytest.mark.parametrize("words, said", [
-    (["run", "nosuch=3"], "no axis is named 'nosuch'"), (["run", "tasks"], "an axis is NAME=NUMBER"),
-    (["run", "tasks=-4"], "an axis is NAME=NUMBER"), (["run", "tasks=90000", "hollow=90"], "this size needs some"),
-    (["run", "--workers", "400"], "are more than 250 processes"), (["run", "--seed", "x"], "not a valid integer"),
-    (["run", "--name", "../x"], "a record's name"), (["run", "--seconds", "1"], "longer than 1 s"),
-    (["run", "--memory-mb", "64", "hollow=1", "tasks=8", "proxies=1"], "MB of the 64"), (["nosuch"], "No such command")])
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (["run", "nosuch=3"], "no axis is named 'nosuch'"),
+        (["run", "tasks"], "an axis is NAME=NUMBER"),
+        (["run", "tasks=-4"], "an axis is NAME=NUMBER"),
+        (["run", "tasks=90000", "hollow=90"], "this size needs some"),
+        (["run", "--workers", "400"], "are more than 250 processes"),
+        (["run", "--seed", "x"], "not a valid integer"),
+        (["run", "--name", "../x"], "a record's name"),
+        (["run", "--seconds", "1"], "longer than 1 s"),
+        (["run", "--memory-mb", "64", "hollow=1", "tasks=8", "proxies=1"], "MB of the 64"),
+        (["nosuch"], "No such command"),
+    ],
+)
 def test_a_wrong_call_is_one_line_and_status_2(capsys, words, said):
     status, err = call(capsys, *words)
     assert status == 2 and said in err and err.count("\n") == 1
@@ -94,9 +112,15 @@
     return str(tmp_path)
 
 
-@pytest.mark.parametrize("text, said", [
-    ('{"form":', "not JSON"), ("[]", "not a record"), ('{"form":"havendyke scale 1"}', "field 'point' is missing"),
-    ('{"form":"havendyke scale 2"}', "not a record")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ('{"form":', "not JSON"),
+        ("[]", "not a record"),
+        ('{"form":"havendyke scale 1"}', "field 'point' is missing"),
+        ('{"form":"havendyke scale 2"}', "not a record"),
+    ],
+)
 def test_a_broken_record_is_one_line_and_the_pages_stay(tmp_path, capsys, text, said):
     (tmp_path / "base.json").write_text(text)
     before = [path.read_text() for path in capacity.PAGES]
@@ -122,7 +146,9 @@
 def test_the_pages_agree_with_the_records():
     blocks = page.Page(record.read_all(capacity.RECORDS)).blocks()
     for path in capacity.PAGES:
-        assert page.written(path.read_text(), blocks) == path.read_text(), f"python -m benchmarks capacity --page writes {path.name}"
+        assert page.written(path.read_text(), blocks) == path.read_text(), (
+            f"python -m benchmarks capacity --page writes {path.name}"
+        )
     marked = {found["name"] for path in capacity.PAGES for found in page.MARK.finditer(path.read_text())}
     assert marked == set(blocks)
 
@@ -140,6 +166,11 @@
 
 
 def test_other_benchmarks_still_take_their_name_alone():
-    told = subprocess.run([sys.executable, "-m", "benchmarks", "fleet", "--fit"], cwd=Path(capacity.__file__).parents[1],
-                          capture_output=True, text=True, timeout=60)
+    told = subprocess.run(
+        [sys.executable, "-m", "benchmarks", "fleet", "--fit"],
+        cwd=Path(capacity.__file__).parents[1],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert told.returncode == 2 and "takes nothing further" in told.stderr
