--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one benchmark by its name; what follows the name is for the benchmark that takes it."""
+"""Runs one benchmark by its name; options after the name go to those that take some."""
 import importlib
 import json
 import pkgutil
@@ -13,13 +13,14 @@
     if not words or words[0] not in NAMES:
         print(f"benchmarks: give one of {', '.join(NAMES)}", file=sys.stderr)
         return 2
-    module = importlib.import_module(f"benchmarks.{words[0]}")
-    if len(words) > 1 and hasattr(module, "main"):
-        return module.main(words[1:])
-    if len(words) > 1:
-        print(f"benchmarks: {words[0]} takes nothing further, not {words[1][:40]}", file=sys.stderr)
+    name, *options = words
+    benchmark = importlib.import_module(f"benchmarks.{name}")
+    if hasattr(benchmark, "main"):
+        return benchmark.main(options)
+    if options:
+        print(f"benchmarks: {name} takes no options", file=sys.stderr)
         return 2
-    print(json.dumps(module.measure()))
+    print(json.dumps(benchmark.measure()))
     return 0
 
 
--- a/benchmarks/_earlier.py
+++ b/benchmarks/_earlier.py
@@ -12,17 +12,38 @@
 ROOT = Path(__file__).parents[1]
 
 
+class UnknownRevision(Exception):
+    """A revision that the history does not have."""
+
+
+def commit_of(revision: str) -> str:
+    """The full name of a revision's commit."""
+    told = subprocess.run(["git", "rev-parse", "--verify", "--quiet", "--end-of-options", f"{revision}^{{commit}}"],
+                          cwd=ROOT, capture_output=True, text=True)
+    if told.returncode:
+        raise UnknownRevision(f"the history has no {revision}")
+    return told.stdout.strip()
+
+
+def extract(revision: str, folder: Path):
+    """Writes `havendyke` of a revision into a folder."""
+    told = subprocess.run(["git", "archive", commit_of(revision), "havendyke"], cwd=ROOT, capture_output=True)
+    if told.returncode:
+        raise UnknownRevision(f"{revision} has no havendyke")
+    with tarfile.open(fileobj=io.BytesIO(told.stdout)) as tar:
+        tar.extractall(folder, filter="data")
+
+
 def package(revision: str) -> str:
     """Makes `havendyke` of a revision importable as a package of another name, which is returned."""
     name = f"earlier_{revision}"
     if name in sys.modules:
         return name
-    told = subprocess.run(["git", "archive", revision, "havendyke"], cwd=ROOT, capture_output=True)
-    if told.returncode:
-        raise SystemExit(f"benchmarks: the history has no {revision}: {told.stderr.decode().strip()}")
     folder = Path(tempfile.mkdtemp(prefix="earlier-"))
-    with tarfile.open(fileobj=io.BytesIO(told.stdout)) as tar:
-        tar.extractall(folder, filter="data")
+    try:
+        extract(revision, folder)
+    except UnknownRevision as error:
+        raise SystemExit(f"benchmarks: {error}") from error
     (folder / "havendyke").rename(folder / name)
     sys.path.insert(0, str(folder))
     importlib.import_module(name)
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -16,6 +16,7 @@
 from ..registry import hold, register
 
 TICK = 50.0        # ms between looks at the proxies
+USUAL = 100.0      # operations a second that a server answers well
 LONGEST = 40_000.0
 HEAD = 9           # bytes that draw the deployment; four a step after them
 KINDS = (
@@ -71,20 +72,21 @@
             push_delay=self.delay, report_period=1000.0, cold=12_000.0, cold_from=draw.choice((0.2, 0.1)),
             overload=draw.choice((3.0, 1.5)), probes=bool(flags & 32), levels=("share", "none")[flags >> 6 & 1],
             sized=bool(flags & 128))
-        self.door = Door(self.settings, seed)
-        self.now, self.plane = 100_000.0, Plane(self.settings, self.chance.draw)
-        self.plane.now = self.now
         bounds = Bounds(bare=6000.0 if one_owner else 2500.0, grace=2300.0 + 2 * max(0.0, self.delay - 200.0))
-        usual = 100.0
-        self.rules = Rules(self.settings, bounds, usual)
-        self.rules.now = self.now
+        self.begin(Door(self.settings, seed), Rules(self.settings, bounds, USUAL))
+
+    def begin(self, door, rules):
+        """The fleet as it stands at first, and all that the controller behind `door` is told of it."""
+        self.door, self.rules = door, rules
+        self.now, self.plane = 100_000.0, Plane(self.settings, self.chance.draw)
+        self.plane.now = self.rules.now = self.now
         self.serial, self.ordinal, self.digest = 0, 0, hashlib.blake2b(digest_size=12)
         self.timers, self.later, self.reached, self.busy_till, self.reports_off = [], [], True, 0.0, 0.0
         self.servers = {}   # by object: "up", "down" or "hung"
         self.draining, self.drained_at, self.failed_at, self.slow_till = [], -1e9, -1e9, -1e9
         self.slowness, self.stood = {}, []
         names = [self.new() for _ in range(self.count)]
-        total = usual * self.load * self.count
+        total = USUAL * self.load * self.count
         raw = [0.4 + self.chance.draw() for _ in range(self.piece_count)]
         self.demand = {self.door.slice(k): total * r / sum(raw) for k, r in enumerate(raw)}
         self.inbox = [core.Members("stale", []), self.listing("whole", names)]
@@ -248,15 +250,18 @@
         self.ordinal += 1
         self.later.append((self.now + wait, self.ordinal, call))
 
-    def reports(self):
-        views, total = self.plane.joined(), 0.0
-        brought = {}
+    def brought(self):
+        """Operations a second that the proxies send to each server."""
+        views, brought = self.plane.joined(), {}
         for view in views:
             for piece in self.plane.charge:
                 for server, part in view.pick(piece).items():
                     brought[server] = brought.get(server, 0.0) + part * self.demand[piece] / max(1, len(views))
+        return brought
+
+    def reports(self):
         told = []
-        for server, rate in brought.items():
+        for server, rate in self.brought().items():
             tries = int(rate)
             used = rate / 100.0 * self.slowness.get(server, 1.0)
             bad = tries if self.servers[server] != "up" else int(tries * max(0.0, min(0.9, used - 1.2)))
@@ -266,15 +271,20 @@
                                               {"held": used * 3}))
         for piece in self.plane.charge:
             told += [core.SliceReport(piece, k, int(self.demand[piece] * share), 0, 1000.0)
-                     for k, share in enumerate((0.7, 0.3))]
+                     for k, share in enumerate((0.7, 0.3)[:len(self.settings.classes)])]
         if self.now >= self.reports_off:
             self.after(300.0 + 900.0 * self.chance.draw(), lambda: self.inbox.extend(told))
-        return total
 
     def carry_out(self, orders):
         well_formed(orders, self.door)
         for o in orders:
             self.digest.update(told(o).encode())
+        self.react(orders)
+        self.rules.ordered(self.now, orders, self.plane)
+
+    def react(self, orders):
+        """What the world makes of one turn's orders."""
+        for o in orders:
             if type(o) is core.Timer:
                 self.timers.append((self.now + o.after, o.tag))
             elif type(o) is core.Probe:
@@ -282,7 +292,6 @@
                 outcome, wait = {"up": ("answered", 5.0), "down": ("refused", 5.0), "hung": ("overdue", 500.0)}[how]
                 self.after(wait, lambda s=o.server, w=outcome, t=wait: self.inbox.append(core.Probed(s, w, t)))
         self.plane.order([o for o in orders if type(o) not in (core.Timer, core.Probe, core.Follow)])
-        self.rules.ordered(self.now, orders, self.plane)
 
     def turn(self):
         if self.now < self.busy_till:
@@ -387,10 +396,9 @@
             core.Stored(piece, server, 1.0))[kind - 1]
 
 
-def wild(data):
-    draw = Draw(data)
+def wild_settings(draw):
     flags = draw.byte()
-    settings = core.Settings(
+    return core.Settings(
         classes=[core.OperationClass(1000.0, 3000.0, **KINDS[flags % 5])] * (1 + (flags >> 6 & 1)) + [
             core.OperationClass(draw.choice((0.0, 1e-3, 2000.0)), 1e6, own_zone=bool(flags & 8))],
         zones=3, slices=0 if flags & 3 == 3 else 6, one_owner=flags & 48 == 48, queue_limit=draw.choice((0.0, 60.0, 4000.0)),
@@ -398,6 +406,11 @@
         message_cap=draw.choice((0, 1, 20)), message_span=10_000.0, cold=draw.choice((0.0, 12_000.0)), cold_from=0.2,
         overload=draw.choice((3.0, 1e9)), ask=bool(flags & 128), ask_within=4000.0, probes=bool(flags & 4),
         levels=("share", "rate", "none")[flags % 3], sized=bool(flags & 16))
+
+
+def wild(data):
+    draw = Draw(data)
+    settings = wild_settings(draw)
     door, now, digest = Door(settings, 7), 1000.0, hashlib.blake2b(digest_size=12)
     while not draw.over:
         now += draw.choice((0.0, 1.0, 50.0, 250.0, 1000.0, 5000.0, 1e7))
--- a/tests/lab/test_scale_tools.py
+++ b/tests/lab/test_scale_tools.py
@@ -173,4 +173,4 @@
         text=True,
         timeout=60,
     )
-    assert told.returncode == 2 and "takes nothing further" in told.stderr
+    assert told.returncode == 2 and "takes no options" in told.stderr
