Laboratory: all work fells a cold server, two thirds known breaks the rule

Need: the checker's cold rule counted only the work of proxies that knew of a server's start. The platform's rule lets all work count for the fall, and is broken where two thirds of that work came from proxies that must know of it.

Change: lab/cold.py has the rule as a budget of work for every window of `fall`, apart from who looks at it, so that several controllers can be judged together. lab/rules.py splits what one controller's proxies show by themselves (observe) from what is judged over all of them, and keeps the falls without blame in `falls`. Known work that stays below the multiple now breaks the rule if other work fells the server; a fall without blame begins a window anew, so that what follows it is judged as before.

--- a/havendyke/lab/rules.py
+++ b/havendyke/lab/rules.py
@@ -7,13 +7,14 @@
 2. twice: no order lets a class be tried again that might take effect twice; of a sole owner's slice, no two servers
    get writes at a time;
 3. drain: what was told to drain or be gone gets nothing from joined proxies once the grace is over;
-4. cold: all proxies together never bring a cold server the multiple of what it can do, over a window;
+4. cold: all proxies together never bring a cold server the multiple of what it can do, over a window, with two thirds
+   of it from those that must know of its start (`cold.ColdBudget`);
 5. queue: no more lines wait than the limit, no more messages go to a proxy than the cap.
 """
-from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .. import interface as core
+from .cold import ColdBudget, Work
 
 
 @dataclass(frozen=True)
@@ -35,14 +36,24 @@
         return f"{self.rule} at {self.at / 1000:.2f} s: {self.said}"
 
 
+@dataclass
+class Observation:
+    """What the proxies do at one look: work by server, and the servers that take writes by slice of sole owners."""
+    work: dict = field(default_factory=dict)
+    writers: dict = field(default_factory=dict)
+
+
 class Rules:
-    """`usual`: the operations a second that a warm server of size 1 can do, in the unit of `demand` in `look`."""
+    """`usual`: the operations a second that a warm server of size 1 can do, in the unit of `demand` in `look`.
+
+    `falls`: the cold servers that fell over, whoever was to blame."""
 
     def __init__(self, settings, bounds: Bounds = Bounds(), usual: float = 1.0):
         self.settings, self.bounds, self.usual, self.now = settings, bounds, usual, 0.0
         self.state, self.size, self.start, self.start_told = {}, {}, {}, {}
         self.closed_at, self.bare_at, self.cut_at = {}, {}, None
-        self.load, self.writes, self.breaches = {}, {}, []
+        self.budget = ColdBudget(settings, bounds.fall, bounds.slack, usual)
+        self.writes, self.breaches, self.falls = {}, [], []
 
     def breach(self, rule, *said):
         self.breaches.append(Breach(rule, self.now, " ".join(str(s) for s in said)))
@@ -102,11 +113,19 @@
 
     def look(self, now, plane, demand: dict):
         """`demand`: operations a second, by slice, of all proxies together, in the unit of `usual`."""
-        past, self.now = now - self.now, now
+        past = now - self.now
+        seen = self.observe(now, plane, demand)
+        for server in self.start:
+            self.cold(server, seen.work.get(server, Work()), past)
+        for piece, servers in seen.writers.items():
+            self.owner(piece, servers)
+
+    def observe(self, now, plane, demand: dict) -> Observation:
+        """Judges what one controller's proxies show by themselves, and tells what is to be judged with the others'."""
+        self.now, seen = now, Observation()
         views, pieces = plane.joined(), plane.charge
         total = sum(v.rate for v in views) or 1.0
         warm = any(state == "ready" and now - self.start[s] >= self.settings.cold for s, state in self.state.items())
-        brought, sole = {}, {}
         for view in views:
             # Back after its lease, a proxy writes nothing until it has read the store.
             writes = now >= view.read_at or now - view.parted_at < self.settings.lease
@@ -115,21 +134,21 @@
                 self.bare(view, piece, since, warm and not picked)
                 for server, part in picked.items():
                     self.drain(view, piece, since, server)
-                    if writes:
-                        sole.setdefault(piece, set()).add(server)
-                    knows = view.heard_at >= self.start_told.get(server, 0.0) or \
-                        now - self.start_told.get(server, 0.0) > self.bounds.grace
-                    if knows:
-                        brought[server] = brought.get(server, 0.0) + part * demand.get(piece, 0.0) * view.rate / total
-        for server in self.start:
-            self.cold(server, brought.get(server, 0.0), past)
+                    if writes and self.settings.one_owner:
+                        seen.writers.setdefault(piece, set()).add(server)
+                    rate = part * demand.get(piece, 0.0) * view.rate / total
+                    seen.work.setdefault(server, Work()).add(rate, self.knows(view, server))
         if self.settings.one_owner:
             # A proxy that lost its stream goes on writing for the lease.
             for view in [v for v in plane.views.values() if not v.joined and now - v.parted_at < self.settings.lease]:
                 for piece in pieces:
-                    sole.setdefault(piece, set()).update(view.pick(piece))
-            for piece, servers in sole.items():
-                self.owner(piece, servers)
+                    seen.writers.setdefault(piece, set()).update(view.pick(piece))
+        return seen
+
+    def knows(self, view, server) -> bool:
+        """Whether the start is known to this proxy: its last message was sent, or the grace ended, after it was told."""
+        told = self.start_told.get(server, 0.0)
+        return view.heard_at >= told or self.now - told > self.bounds.grace
 
     def bare(self, view, piece, since, empty):
         key = (view.proxy, piece)
@@ -151,21 +170,17 @@
             self.breach("drain", "proxy", view.proxy.id, "still sends for slice", piece.id, "to", server.id, round(late),
                         "ms after it was told")
 
-    def cold(self, server, brought, past):
-        age = self.now - self.start[server]
-        if not 0 <= age < self.settings.cold or self.state.get(server) == "gone":
-            self.load.pop(server, None)
+    def cold(self, server, work, past):
+        if self.state.get(server) == "gone":
+            self.budget.forget(server)
+            return
+        fall = self.budget.look(self.now, past, server, self.start[server], self.size.get(server, 1.0), work)
+        if fall is None:
             return
-        warmth = self.settings.cold_from + (1 - self.settings.cold_from) * age / self.settings.cold
-        may = self.settings.overload * self.usual * self.size.get(server, 1.0) * warmth
-        window = self.load.setdefault(server, deque())
-        window.append((self.now, brought * past, may * past))
-        while window and window[0][0] <= self.now - self.bounds.fall:
-            window.popleft()
-        sent, most = sum(w[1] for w in window), sum(w[2] for w in window)
-        if self.now - window[0][0] > 0.9 * self.bounds.fall and sent > most * (1 + self.bounds.slack):
-            self.breach("cold", server.id, "is brought", round(sent / max(most, 1e-9), 2), "of what fells it")
-            window.clear()
+        self.falls.append(fall)
+        if fall.breaks_rule:
+            self.breach("cold", server.id, "is brought", round(fall.multiple, 2), "of what fells it, known to",
+                        round(fall.known_share, 2))
 
     def owner(self, piece, servers):
         last = self.writes.setdefault(piece, {})
--- /dev/null
+++ b/tests/lab/test_cold_budget.py
@@ -0,0 +1,140 @@
+"""The rule on cold servers, clause by clause: what fells a server, and who is to blame."""
+import pytest
+
+from havendyke import interface as core
+from havendyke.door import Door
+from havendyke.lab.cold import KNOWN_SHARE, ColdBudget, Work
+from havendyke.lab.plane import Plane
+from havendyke.lab.rules import Bounds, Rules
+
+FALL, STEP, USUAL = 500.0, 10.0, 100.0
+SETTINGS = core.Settings(classes=[core.OperationClass(1000.0, 3000.0, "safe")], slices=3, cold=10_000.0, cold_from=0.2,
+                         overload=3.0, queue_limit=1e6, channel_rate=1e6, push_delay=50.0)
+AT_START = SETTINGS.overload * SETTINGS.cold_from * USUAL  # operations a second that fell a server just started
+
+
+def falls(works, started=0.0, size=1.0):
+    """The falls of a server that is sent these, one look each."""
+    budget, now, seen = ColdBudget(SETTINGS, FALL, 0.0, USUAL), 0.0, []
+    for work in works:
+        now += STEP
+        fall = budget.look(now, STEP, "s1", started, size, work)
+        seen += [fall] if fall else []
+    return seen
+
+
+def steady(total, known_share=1.0, looks=60):
+    return [Work(total, total * known_share)] * looks
+
+
+@pytest.mark.parametrize("share, fell", [(0.99, False), (1.15, True)])
+def test_a_server_falls_by_what_it_is_sent_over_a_window(share, fell):
+    assert bool(falls(steady(share * AT_START, looks=49))) == fell
+
+
+def test_all_work_counts_for_the_fall_also_that_of_proxies_that_know_nothing():
+    fall, = falls(steady(2 * AT_START, known_share=0.0, looks=49))
+    assert fall.multiple > 1.8 and fall.known_share == 0.0 and not fall.breaks_rule
+
+
+@pytest.mark.parametrize("share, breaks", [(0.0, False), (0.65, False), (KNOWN_SHARE + 0.001, True), (1.0, True)])
+def test_the_rule_is_broken_where_two_thirds_of_the_work_was_known(share, breaks):
+    fall, = falls(steady(1.5 * AT_START, share, looks=49))
+    assert fall.breaks_rule == breaks
+
+
+def test_known_work_below_the_multiple_breaks_the_rule_if_the_rest_fells_the_server():
+    # Counted alone, the known work would have felled nobody.
+    fall, = falls(steady(1.2 * AT_START, 0.75, looks=49))
+    assert 0.75 * 1.2 < 1.0 and fall.breaks_rule
+
+
+@pytest.mark.parametrize("burst, fell", [(5, False), (12, True)])
+def test_a_burst_counts_against_the_budget_of_the_whole_window(burst, fell):
+    # Five times what fells it: 50 ms fill half of a window's budget, 120 ms all of it.
+    works = [Work(5 * AT_START, 5 * AT_START)] * burst + [Work()] * (60 - burst)
+    assert bool(falls(works)) == fell
+
+
+def test_work_of_before_the_window_does_not_count():
+    heavy, light = Work(0.9 * AT_START, 0.9 * AT_START), Work(0.0, 0.0)
+    assert not falls([heavy] * 45 + [light] * 50 + [heavy] * 45)
+
+
+@pytest.mark.parametrize("age, size, fell", [(0.0, 1.0, True), (5000.0, 1.0, False), (0.0, 2.0, False),
+                                             (10_000.0, 1.0, False)])
+def test_the_budget_grows_with_age_and_size_and_ends_with_the_warm_up(age, size, fell):
+    assert bool(falls(steady(1.5 * AT_START), -age, size)) == fell
+
+
+@pytest.mark.parametrize("age, fell", [(9000.0, True), (10_000.0, False)])
+def test_a_warm_server_is_not_judged(age, fell):
+    assert bool(falls(steady(SETTINGS.overload * USUAL * 1.2), -age)) == fell
+
+
+def test_a_second_start_begins_a_window_anew():
+    budget = ColdBudget(SETTINGS, FALL, 0.0, USUAL)
+    for k in range(1, 80):
+        started = 0.0 if k < 40 else 400.0
+        assert budget.look(k * STEP, STEP, "s1", started, 1.0, Work(1.2 * AT_START, 0.0)) is None
+
+
+class Scene:
+    """Four proxies that all send to server a; it starts anew when the test says so."""
+
+    def __init__(self):
+        self.door, self.plane = Door(SETTINGS, 1), Plane(SETTINGS, lambda: 0.5, sync=(0.0, 0.0))
+        self.rules = Rules(SETTINGS, Bounds(bare=1000.0, grace=2000.0, fall=FALL, slack=0.0), USUAL)
+        self.server, self.pieces = self.door.server("a"), [self.door.slice(k) for k in range(3)]
+        for piece in self.pieces:
+            self.plane.give(piece, {self.server: 1.0})
+        self.proxies = [self.door.proxy(k) for k in range(4)]
+        for proxy in self.proxies:
+            self.plane.join(proxy, 0, 1.0, True)
+        self.go(50.0, 0.0)
+
+    def told_started(self, started):
+        entry = core.Entry(self.server, "ready", started, 0, 0, 0, 1.0)
+        self.rules.told(self.plane.now, core.Members("changes", [entry]))
+
+    def message(self, *proxies):
+        """A message to these proxies, which says nothing of the server."""
+        for proxy in proxies:
+            self.plane.send(self.plane.view(proxy), [], core.Mark(1, False))
+
+    def go(self, span, rate=0.5 * AT_START):
+        for _ in range(int(span / STEP)):
+            self.plane.advance(self.plane.now + STEP)
+            self.rules.look(self.plane.now, self.plane, dict.fromkeys(self.pieces, rate))
+
+    @property
+    def broken(self):
+        return [breach.rule for breach in self.rules.breaches]
+
+
+@pytest.mark.parametrize("reached, broken", [(0, False), (2, False), (3, True), (4, True)])
+def test_a_proxy_knows_by_a_message_that_was_sent_after_its_controller_was_told(reached, broken):
+    s = Scene()
+    s.told_started(s.plane.now)
+    s.message(*s.proxies[:reached])
+    s.go(100.0, 0.0)  # the messages arrive
+    s.go(500.0)
+    assert s.rules.falls and ("cold" in s.broken) == broken
+
+
+def test_a_message_sent_before_its_controller_was_told_gives_no_knowledge():
+    s = Scene()
+    s.message(*s.proxies)
+    s.go(10.0, 0.0)
+    s.told_started(s.plane.now)
+    s.go(600.0)
+    assert s.rules.falls and not s.broken
+
+
+@pytest.mark.parametrize("since_told, broken", [(1300.0, False), (2010.0, True)])
+def test_a_proxy_without_a_message_knows_once_the_grace_is_over(since_told, broken):
+    s = Scene()
+    s.told_started(s.plane.now)
+    s.go(since_told, 0.0)
+    s.go(600.0, AT_START)
+    assert s.rules.falls and ("cold" in s.broken) == broken
