Laboratory: several controllers over the same servers, judged together

Need: what is harmless at one controller may fell a server when all do it. The checker looked at one controller's proxies, and the tests of many counted loads by hand.

Change: lab/controllers.py plays any number of controllers, each with its part of the slices, its channel and its news, and judges cold servers by the work of all proxies and sole owners' slices by all writes; lab/traffic.py has the servers and sampled reports, lab/writes.py the check of writes that meet. A start counts as known only to a controller that was told of this very start. tests/lab/test_several_controllers.py: a zone lost for 5 s that comes back cold and is told late over sparse reports; servers restarted under all their slices; half of the fleet replaced in 8 s (1, 5, 30 and 230 controllers each); sole owners with proxies that restart; a neighbour lost; troubles of discovery during a release. All in simulated time, without sockets.

Breaks of the lease alone are not yet seen here.

--- a/havendyke/lab/rules.py
+++ b/havendyke/lab/rules.py
@@ -15,6 +15,9 @@
 
 from .. import interface as core
 from .cold import ColdBudget, Work
+from .writes import WriteOverlap
+
+SAME_START = 1.0  # ms; starts that lie no further apart are one
 
 
 @dataclass(frozen=True)
@@ -53,7 +56,7 @@
         self.state, self.size, self.start, self.start_told = {}, {}, {}, {}
         self.closed_at, self.bare_at, self.cut_at = {}, {}, None
         self.budget = ColdBudget(settings, bounds.fall, bounds.slack, usual)
-        self.writes, self.breaches, self.falls = {}, [], []
+        self.writes, self.breaches, self.falls = WriteOverlap(settings.lingers), [], []
 
     def breach(self, rule, *said):
         self.breaches.append(Breach(rule, self.now, " ".join(str(s) for s in said)))
@@ -72,7 +75,7 @@
             self.changed(e.server, e.state)
             self.size[e.server] = e.size if self.settings.sized and e.size > 0 else 1.0
             started = -1e12 if e.started is None else e.started
-            if started > self.start.get(e.server, -1e13) + 1:
+            if started > self.start.get(e.server, -1e13) + SAME_START:
                 self.start[e.server], self.start_told[e.server] = started, now
 
     def changed(self, server, state):
@@ -120,8 +123,11 @@
         for piece, servers in seen.writers.items():
             self.owner(piece, servers)
 
-    def observe(self, now, plane, demand: dict) -> Observation:
-        """Judges what one controller's proxies show by themselves, and tells what is to be judged with the others'."""
+    def observe(self, now, plane, demand: dict, started: dict | None = None) -> Observation:
+        """Judges what one controller's proxies show by themselves, and tells what is to be judged with the others'.
+
+        `started`: the servers' last starts, where they are not those that this controller was told."""
+        started = started or {}
         self.now, seen = now, Observation()
         views, pieces = plane.joined(), plane.charge
         total = sum(v.rate for v in views) or 1.0
@@ -137,7 +143,7 @@
                     if writes and self.settings.one_owner:
                         seen.writers.setdefault(piece, set()).add(server)
                     rate = part * demand.get(piece, 0.0) * view.rate / total
-                    seen.work.setdefault(server, Work()).add(rate, self.knows(view, server))
+                    seen.work.setdefault(server, Work()).add(rate, self.knows(view, server, started.get(server)))
         if self.settings.one_owner:
             # A proxy that lost its stream goes on writing for the lease.
             for view in [v for v in plane.views.values() if not v.joined and now - v.parted_at < self.settings.lease]:
@@ -145,8 +151,11 @@
                     seen.writers.setdefault(piece, set()).update(view.pick(piece))
         return seen
 
-    def knows(self, view, server) -> bool:
-        """Whether the start is known to this proxy: its last message was sent, or the grace ended, after it was told."""
+    def knows(self, view, server, started: float | None) -> bool:
+        """Whether the last start is known to this proxy: its last message was sent, or the grace ended, after it was
+        told. `started`: that start, None: the one that was told last."""
+        if started is not None and self.start.get(server, -1e13) < started - SAME_START:
+            return False
         told = self.start_told.get(server, 0.0)
         return view.heard_at >= told or self.now - told > self.bounds.grace
 
@@ -183,12 +192,8 @@
                         round(fall.known_share, 2))
 
     def owner(self, piece, servers):
-        last = self.writes.setdefault(piece, {})
-        for server in servers:
-            for other, at in last.items():
-                if other is not server and self.now - at < self.settings.lingers:
-                    self.breach("twice", "slice", piece.id, "is written at", server.id, "and", other.id)
-            last[server] = self.now
+        for server, other in self.writes.look(self.now, piece, servers):
+            self.breach("twice", "slice", piece.id, "is written at", server.id, "and", other.id)
 
 
 def may_repeat(c) -> bool:
--- /dev/null
+++ b/tests/lab/deployment.py
@@ -0,0 +1,45 @@
+"""A deployment for several controllers: settings with room for what a lost zone moves, and skewed demand."""
+from havendyke import interface as core
+from havendyke.lab.controllers import ControllerGroup
+from havendyke.lab.traffic import Sampling
+from havendyke.state import Chance
+
+SERVERS, PROXIES, USUAL = 60, 4, 100.0
+MANY = 30  # controllers; with more of them the proxies are looked at half as often
+SLICES_PER_SERVER, SLICES_PER_CONTROLLER = 6, 1.2
+SKEW, SKEW_BEGINS = 0.6, 10  # demand by rank, as a power; the first ranks are left out
+SPARSE = Sampling(period=2000.0, span=6000.0, zones=3, delay=300.0)
+
+
+def settings(slices, **more):
+    """The channel's limit has room for all slices at once, as that of a full fleet has for a lost zone."""
+    limit = 4.0 * PROXIES * (8 + 6 + 1.6 * slices)
+    defaults = dict(
+        classes=[core.OperationClass(1000.0, 3000.0, "safe"), core.OperationClass(2000.0, 6000.0, "once")], zones=3,
+        slices=slices, queue_limit=limit, channel_rate=limit / 1.2, overhead=8.0, push_delay=300.0, report_period=1000.0,
+        cold=16_000.0, cold_from=0.16, overload=3.0, levels="share", sized=True)
+    return core.Settings(**defaults | more)
+
+
+def skewed(count, total, seed):
+    """Operations a second by slice, which come to `total`."""
+    chance = Chance(seed)
+    ranked = sorted(range(count), key=lambda number: chance.draw())
+    raw = {number: (rank + SKEW_BEGINS) ** -SKEW for rank, number in enumerate(ranked)}
+    return {number: total * part / sum(raw.values()) for number, part in sorted(raw.items())}
+
+
+def deployment(count, seed=1, servers=SERVERS, load=0.59, group=None, **more):
+    """`count` controllers that have run for long; `group`: further words for the group."""
+    slices = max(servers * SLICES_PER_SERVER, int(SLICES_PER_CONTROLLER * count))
+    demand = skewed(slices, load * USUAL * servers, seed)
+    made = ControllerGroup(settings(slices, **more), count, servers, demand, proxies=PROXIES, usual=USUAL,
+                           seed=seed, **{"sampling": SPARSE, "step": 100.0 if count > MANY else 50.0} | (group or {}))
+    made.go(500.0)
+    for replica in made.replicas:
+        controller = replica.door.controller
+        controller.booted_at = -1e9
+        for piece in controller.slices:
+            piece.given_at = -1e9
+    made.go(3000.0)
+    return made
