Settings: an overloadFactor under 1 is refused in a line that names it

Need: a cold server that falls at less than it can do is no deployment; such a figure, 0.5 say, was taken without a word.

Result: the new cases of tests/test_config.py pass; 0.5 and 0.999 were taken before.

--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -119,7 +119,7 @@
         push_delay=ms(family, "pushDelay", 0.0, 0.0, DAY), message_cap=count(family, "updateCap", 0, 0, 10 ** 9),
         message_span=ms(family, "countedOver", 0.0, 0.0, DAY), report_period=ms(family, "interval", 1000.0, 1.0, DAY),
         cold=ms(duty, "cold", 0.0, 0.0, DAY), cold_from=figure(duty, "coldFrom", 1.0, 0.0, 1.0),
-        overload=figure(duty, "overloadFactor", 1e9, 1e-3, 1e9),
+        overload=figure(duty, "overloadFactor", 1e9, 1.0, 1e9),
         ask=word(raw, "registryMode", ASKED, "push"), ask_within=ms(duty, "askWithin", 0.0, 0.0, DAY),
         probes=take(limits, "probes", bool, False), levels=word(family, "throttleBy", LEVELS, "none"),
         sized=word(raw, "weightKind", SIZED, "none"),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -134,6 +134,7 @@
       for value in (-1, 1e30, "1", True, 10 ** 40)),
     *((settings(obligations={key: value}), key) for key in ("cold", "coldFrom", "overloadFactor")
       for value in (-1, 1e30, [1])),
+    *((settings(obligations={"overloadFactor": value}), "overloadFactor") for value in (0, 0.5, 0.999)),
     *((SETTINGS | {"requestClasses": [SETTINGS["requestClasses"][0] | {key: value}]}, key) for key, value in (
         ("repeat", ["pure"]), ("repeat", "Pure"), ("promise", 0), ("hardLimit", -5), ("group", "rack"), ("window", 1e30))),
     (settings(weightKind=1), "weightKind"), (settings(registryMode="pull"), "registryMode"),
