--- a/fuzz/registry.py
+++ b/fuzz/registry.py
@@ -3,7 +3,7 @@
 from importlib import import_module
 
 MODULES = ("fuzz.targets.streams", "fuzz.targets.values", "fuzz.targets.settings", "fuzz.targets.machines",
-           "fuzz.targets.core", "fuzz.targets.recovery", "fuzz.targets.xds")
+           "fuzz.targets.core", "fuzz.targets.controllers", "fuzz.targets.recovery", "fuzz.targets.xds")
 
 
 class Broken(AssertionError):
