Discovery: large lists are checked by version, the whole list at a tenth of the budget

Need: the whole list, asked for at each check (3 s), is the largest steady cost of an assigner: 289,000 bytes a second at 6,200 servers against a budget of 13,000 for all control (docs/design/capacity.md).

Change: where the last whole list at each check would exceed `discovery_bytes_per_s` (13,000; some 280 servers), the check is a follow question at the version held, on a connection of its own, that ends with its first line. An object that no watch has told 100 ms later (`discovery_settle`) is proof that the watches hold back: counted, logged (`list_held_back`), and the whole list is asked for. The moment is needed since a change during a check comes on it and on the watches in any order. Two failed checks in a row ask for the whole list as well. Whole lists go on at most at a tenth of the budget, spread by the assigner's seed. Smaller lists: as before.

A fuzz target for it (`list_checks`) found a server that stayed draining: a whole list with a spoilt entry asked for no other, since it counted as under way itself; the next check used to bring it. The next check is now a whole one.

--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -263,6 +263,8 @@
 play("turns", "the relay's news on two streams that break, come late and repeat", TURNS, ("net/news", "net/relay"),
      news_streams=2)
 play("lists", "discovery's versions back and forth over watches that break", LISTS, ("net/discovery",))
+play("list_checks", "the same where the list is too large for its budget and checked by version", LISTS,
+     ("net/discovery", "net/list_pace"), discovery_bytes_per_s=50.0)
 play("callers", "collectors, strangers, floods and probes", CALLERS, ("net/collectors", "net/probes"), callers=24,
      slots=64)
 play("moves", "reloads to other addresses in the middle of everything", MOVES, ("net/relay", "net/news", "net/discovery"))
--- a/havendyke/config.py
+++ b/havendyke/config.py
@@ -62,6 +62,9 @@
     discovery_silence: float = 2600.0
     discovery_again: float = 300.0
     discovery_check: float = 3000.0  # between looks at the whole list: half of when all that it has counts as told
+    # Up to this the whole list may cost; where it is larger, checks ask for what changed since the version that is held.
+    discovery_bytes_per_s: float = 13_000.0
+    discovery_settle: float = 100.0  # until the watches have told what a check by version told before them
     overlap: float = 500.0         # so long streams at an old address go on beside the first that stands at the new
     probe: float = 500.0           # until a probe's answer counts as overdue
     probe_connect: float = 250.0   # the settings' own figure, where they state one
--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -28,6 +28,8 @@
     "rows_differ": (("slice", "store", "known"), "the store has other lines than were known; they are taken"),
     "bad_answer": (("field",), "a spoilt answer to a mark is left out"),
     "list": (("scope", "version", "entries"), "discovery told its list or changes of it"),
+    "list_held_back": (("version",), "a check told a version that no watch has; the whole list is asked for; said once until "
+                       "a watch tells news"),
     "bad_entry": (("field",), "an entry cannot be read; the others count, the whole list is asked for"),
     "discovery_lost": (("why", "follow"), "a question to discovery ended early"),
     "discovery_back": ((), "discovery answers again"),
--- a/havendyke/net/assigner.py
+++ b/havendyke/net/assigner.py
@@ -32,7 +32,7 @@
         elif config.known:
             event, version = self.messages.members(config.known, "stale")
             self.door.inbox.append(event)
-        self.discovery = Discovery(hub, config.discovery, self.messages, self.tell, version)
+        self.discovery = Discovery(hub, config.discovery, self.messages, self.tell, version, config.seed)
         self.collectors = Collectors(hub, self.messages, self.tell)
         self.probes = Probes(hub, self.messages, self.tell, "/stats" if config.words["reports"] else "/health/live")
         self.due, self.ringing, self.view = False, 0, View(hub, self.door.controller)
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -1,5 +1,5 @@
 """The list of servers: once whole, then its changes on watches. Silence is found out by the empty lines, and watches that
-hold back what there is by the whole list, which is looked at now and then."""
+hold back what there is by checks: of the whole list while it is small, else of what changed since the version held."""
 from hashlib import blake2b
 
 from ..fields import FieldError
@@ -7,8 +7,10 @@
 from .deadlines import Backoff
 from .http import DONE, HEAD, REST, Answer, query
 from .lines import Lines, value
+from .list_pace import WholeListPace
 
 PATH = "/registry/instances"
+FAILED_CHECKS = 2  # checks by version that failed in a row, after which the whole list is asked for
 
 
 class Question:
@@ -78,12 +80,43 @@
         self.discovery.lost(self, why)
 
 
+class VersionCheck(Question):
+    """A question for what changed since the version that is held, on a connection of its own. It ends with the first
+    line: an empty one where nothing changed, or one object. Its deadline counts from its start, whatever comes."""
+
+    def __init__(self, discovery):
+        super().__init__(discovery, follow=True, first=False)
+
+    def received(self, connection):
+        while (part := self.part()) is not None:
+            self.body.add(part)
+            line = self.lines.next()
+            if line is not None:
+                self.take(line)
+                connection.close("done")
+                return
+        if self.answer.state == DONE:
+            connection.close("ended")
+
+    def take(self, line):
+        # Below `since`, discovery has begun anew meanwhile: changes since then would leave a gap.
+        if line and self.discovery.version >= self.since:
+            self.discovery.object(self, value(line))
+
+    def closed(self, connection, why):
+        self.hub.drop(self.silence)
+        self.discovery.version_checked(why)
+
+
 class Discovery:
-    def __init__(self, hub, address, messages, tell, version):
+    def __init__(self, hub, address, messages, tell, version, seed=0):
         self.hub, self.address, self.messages, self.tell = hub, address, messages, tell
         self.version, self.questions, self.away, self.asking = version, [], False, None
         self.checked = None  # the version and the words of the whole list that was taken last
         self.watching = None
+        self.pace = WholeListPace(hub.limits, seed)
+        self.version_check, self.failed_checks = None, 0
+        self.told_by_watch, self.settling, self.held_back = version, None, False
         self.again = Backoff(hub.limits.discovery_again, 16 * hub.limits.discovery_again)
 
     def start(self):
@@ -97,13 +130,54 @@
     def check(self):
         """A watch that brings its empty lines and nothing else looks like a list that stands still. Beside one that
         stands an older whole list is only late."""
+        if self.pace.due(self.hub.now()):
+            self.check_whole()
+        elif self.version_check is None and self.asking is None and not self.wholes():
+            self.check_version()
+        self.hub.after(self.hub.limits.discovery_check, self.check)
+
+    def check_whole(self):
         if self.asking is None and not self.wholes():
             self.ask(False, first=False)
-        self.hub.after(self.hub.limits.discovery_check, self.check)
+
+    def check_version(self):
+        check = VersionCheck(self)
+        if check.connection is None:
+            self.version_checked("no slot")
+        elif not check.connection.over:
+            self.version_check = check
+
+    def version_checked(self, why):
+        """The end of a check by version. A failed one changes nothing by itself, the watches stand."""
+        self.version_check = None
+        if why == "moved":
+            return
+        self.failed_checks = 0 if why == "done" else self.failed_checks + 1
+        if self.failed_checks >= FAILED_CHECKS:
+            self.failed_checks = 0
+            self.check_whole()
+
+    def settle(self, version):
+        """A check told this version before any watch did; one that does not hold back tells it within a moment."""
+        self.hub.drop(self.settling)
+        self.settling = self.hub.after(self.hub.limits.discovery_settle, lambda: self.settled(version))
+
+    def settled(self, version):
+        self.settling = None
+        watched = any(q.follow and q.sound for q in self.questions if q.address == self.address)
+        if not watched or self.told_by_watch >= version or self.version < version:
+            return
+        self.hub.count("list_held_back")
+        if not self.held_back:
+            self.held_back = True
+            self.hub.log("list_held_back", version=version)
+        self.check_whole()
 
     def move(self, address):
         """Discovery is at another address from now on; the old watches go once a new one has answered."""
         self.address = address
+        if self.version_check is not None:
+            self.version_check.connection.close("moved")
         self.begin()
 
     def let_go(self):
@@ -158,16 +232,22 @@
         words = blake2b(body, digest_size=16).digest()
         if self.checked == (self.version, words):
             self.hub.count("list_checked")
+            self.pace.taken(len(body), self.hub.now())
             return
         told = value(body)
-        self.object(question, told)
+        sound = self.object(question, told)
         if told["rev"] == self.version:  # one passed over may be the truth once no watch stands
             self.checked = (self.version, words)
+            self.pace.taken(len(body), self.hub.now())
+            if not sound:
+                self.pace.expire()
 
-    def object(self, question, told):
+    def object(self, question, told) -> bool:
+        """Takes one object, or passes over what is known already; returns whether all its entries could be read."""
         before = self.hub.counters.get("bad_entries", 0)
         event, version = self.messages.members(told, spoilt=self.spoilt)
-        if self.hub.counters.get("bad_entries", 0) > before:
+        sound = self.hub.counters.get("bad_entries", 0) == before
+        if not sound:
             # What it was to tell would be lost with it, a drain perhaps: the whole list has it again.
             self.ask_whole(self.again.next())
         elif event.scope == "whole":
@@ -176,14 +256,27 @@
         # gone back to where the whole list begins anew is discovery's own new start.
         anew = question.first and event.scope == "whole" and version < question.since
         question.first = False
+        check = isinstance(question, VersionCheck)
+        self.note_watched(question.follow and not check, version, anew)
         if version > self.version or anew or not question.follow and version == self.version:
             question.brought = question.brought or version != self.version
             self.version = version
             self.hub.count(f"list_{event.scope}")
             self.hub.log("list", scope=event.scope, version=version, entries=len(event.entries))
             self.tell(self.messages.believed(event, version))
+            if check:
+                self.settle(version)
         else:
             self.hub.count("list_known")
+        return sound
+
+    def note_watched(self, by_watch, version, anew):
+        """Keeps the highest version that a watch told since discovery's last new start."""
+        if anew:
+            self.told_by_watch = version
+        elif by_watch and version > self.told_by_watch:
+            self.told_by_watch = version
+            self.held_back = False
 
     def spoilt(self, error):
         self.hub.count("bad_entries")
