--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -361,8 +361,11 @@
 
     def choose(self, piece, pool):
         spares = [s for s in piece.wanted if s in pool and s.grade == WARM]
+        owner = piece.owner()
+        # Whatever made the owner ill may have its whole zone, of which others' servers are unheard here.
+        away = [s for s in pool if owner and owner.grade == ILL and s.zone != owner.zone]
         for may in (self.fits, self.alone):
-            for some in (spares, pool):
+            for some in (spares, away, pool):
                 if fit := [s for s in some if may(s, piece.demand, FULL)]:
                     return max(fit, key=lambda s: self.score(piece, s))
         # Never a cold one beyond its part: with all cold, a bare slice is refused, a felled server is lost.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -185,6 +185,42 @@
     assert made[0].owner() is spare
 
 
+def zones_of_rescues(ill, zones=3):
+    """Of twelve slices, for each by itself, whether it stays in the zone of an owner that drains, or is ill. Its spare is
+    gone, so that it goes by hash."""
+    stays = []
+    for number in range(12):
+        c = controller(zones=zones)
+        servers = fleet(c, 12)
+        for server in servers:
+            server.zone %= zones
+        piece = slices(c, servers * 3)[number]
+        c.judge()
+        c.plan()
+        for server in piece.wanted:
+            server.state = "ready" if ill and server is piece.owner() else "draining"
+        servers[number].ill_till = c.now + 5000.0 if ill else None
+        c.judge()
+        c.plan()
+        assert piece.owner() not in (None, servers[number])
+        stays.append(piece.owner().zone == servers[number].zone)
+    return stays
+
+
+def test_slices_of_an_ill_server_go_to_other_zones():
+    # Its whole zone may be lost, and of most of that zone's servers this controller hears nothing.
+    assert not any(zones_of_rescues(ill=True))
+
+
+def test_slices_of_an_ill_server_stay_where_there_is_one_zone_alone():
+    assert all(zones_of_rescues(ill=True, zones=1))
+
+
+def test_slices_of_a_drained_server_go_to_any_zone():
+    # A drain is told, and says nothing of its zone.
+    assert set(zones_of_rescues(ill=False)) == {True, False}
+
+
 def test_restarted_server_is_cut_to_what_it_surely_can_do():
     c = controller()
     servers = fleet(c, 4)
