Servers of a lost zone are cut to a cold part before the list tells their start

Ruled out, in the `view` lines: the channel (0.26 of its limit at most), levels (1.0), too many suspects (9 of 200). At fault: `judge`, which asks 6 tries of each server by itself, of 3 a server and report, and takes failures beside slow answers for a full server, though these answers are of before the loss.

Change: where nothing is probed, a zone most of whose reports of the last 1.6 periods fail 3 tries in 10 is lost (state.mark_lost_zones); its servers, but for those told to be cold, count as just started, and those that fail with it are ill, slow answers or not. At most half of the servers.

--- a/havendyke/rules.py
+++ b/havendyke/rules.py
@@ -4,7 +4,7 @@
 `slice` and `proxy`, and calls `turn(now, events)`; the orders that come back take effect at `now`. Events,
 orders and settings: `interface.py`; times are milliseconds. `docs/design.md`: what departs from the design.
 """
-from math import exp, log, log2
+from math import log, log2
 
 from . import interface as core
 from . import state
@@ -16,7 +16,7 @@
 PROBED = 5.0          # questions a second at one server, of all instances together
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
-BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
+BAD_SHARE, BAD_TRIES, ZONE_HEARD = 0.3, 6.0, 3  # of tries, at least so many; servers that tell of their zone
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 5000.0, 20000.0  # so long an ill server rests at first, and at most
@@ -164,6 +164,7 @@
         server = event.server
         if event.tries > event.bad and event.latency > 0:
             server.latency.add(3 * log2(max(event.latency, 8.0) / 8.0), event.tries - event.bad)
+        server.reports[event.zone] = state.Heard(self.now, event.bad / max(event.tries, 1))
         self.told(event)
         for tally in (server.outcomes, self.tried):
             tally.add(0, event.tries - event.bad)
@@ -226,6 +227,9 @@
         good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
         self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
         self.drowned = self.jammed and bad > BAD_SHARE * (good + bad)
+        if not self.probes and not self.strained:
+            # A lost zone comes back cold, told so seconds later; its servers are heard too seldom one by one.
+            state.mark_lost_zones(ready, self.now, NEWS * self.report_period, BAD_SHARE, ZONE_HEARD, self.cold)
         for server in ready:
             good, bad = server.outcomes.bins
             # A full server fails too, but beside slow answers: emptying it would only drown the next. So does
@@ -241,7 +245,8 @@
             if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
                 server.ill_till, server.returning = None, True
             elif server.ill_till or server.streak >= DEAD_PROBES or mute or (
-                    server.failing and not slow and not self.strained and not self.crammed):
+                    server.failing and (not slow or server.lost_at == self.now)
+                    and not self.strained and not self.crammed):
                 suspects.append(server)
         # More than half ill at once is more likely our own cut, a stall or overload.
         for server in suspects if 2 * len(suspects) <= len(ready) else ():
@@ -255,9 +260,7 @@
         for server in self.servers:
             at = server.latency.middle()
             server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
-            grown = (self.now - server.started if server.started is not None else 1e12) / max(self.cold, 1.0)
-            # A start that is to come, by another clock, is one that was just now.
-            warmth = min(1.0, self.cold_from + (1 - self.cold_from) * max(0.0, grown))
+            warmth = server.warmth(self.now, self.cold, self.cold_from)
             # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
             # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
             server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
@@ -314,8 +317,7 @@
         # proxy keeps one for a while after its last operation there.
         joined, ready = sum(p.joined for p in self.proxies), sum(s.state == "ready" for s in self.servers)
         if (joined, ready) != self.counted:
-            self.counted, each = (joined, ready), self.rest / 1000.0 / max(ready, 1)
-            held = sum(1.0 - exp(-p.rate * each) for p in self.proxies if p.joined)
+            self.counted, held = (joined, ready), state.connections_held(self.proxies, ready, self.rest)
             self.filled = held / self.connections if self.connections else 0.0
             self.crammed = BURST * self.filled > 1.0
             # So many controllers hold slices of one server.
@@ -352,8 +354,7 @@
         return server.grade >= COLD and server.load + demand <= self.bearable(server, part)
 
     def alone(self, server, demand, part):
-        # Where a controller holds fewer slices than there are servers, one is more than any server's part:
-        # held against that, all controllers would give theirs to the same largest server.
+        # One slice may be more than any server's part: held to that, all would choose the same largest one.
         return server.grade == WARM and not server.owned and self.fair * server.capacity < demand
 
     def score(self, piece, server):
@@ -437,8 +438,7 @@
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         # One that is only slower than others, not by quoted times, keeps what it has: a moved slice finds its
         # keys cold, and its connections stand twice until the giver's have rested.
-        # A period is that of all who hold slices of a server: five that each gave and each chose made 100
-        # moves a second, and a jam of the work on cold keys.
+        # A period is that of all holders of a server: five that each gave and chose made 100 moves a second.
         hot = [s for s in self.servers if s.hot >= FILL_REPORTS and (s.latency.middle() or 0.0) >= self.sore
                and self.now - s.gave_at > self.sharers * (
                    PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -1,7 +1,8 @@
 """What a controller keeps of servers, slices and proxies, and how it counts: no rule and no tuned value."""
 from collections import defaultdict
+from dataclasses import dataclass
 from hashlib import blake2b
-from math import gcd
+from math import exp, gcd
 
 
 class Tally:
@@ -72,6 +73,46 @@
     return made
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A server's last report from one zone. `at`: when it came (ms); `bad_share`: of its tries, from 0 to 1."""
+    at: float
+    bad_share: float
+
+
+@dataclass(slots=True)
+class ZoneCount:
+    """A zone's servers that were heard lately, their reports, and how many of these tell of failure."""
+    servers: int = 0
+    reports: int = 0
+    failed: int = 0
+
+    def fails(self, least):
+        """Whether most reports tell of failure, where at least `least` servers were heard: single ones do not speak for
+        their zone."""
+        return self.servers >= least and 2 * self.failed > self.reports
+
+
+def mark_lost_zones(servers, now, span, share, least, cold):
+    """Notes `now` as the time when a server was lost with its zone (`lost_at`), for all servers of each zone most of whose
+    reports of the last `span` ms tell that more than this share of their tries failed. Servers whose start within the
+    last `cold` ms was told are left out: that is newer than what their reports tell. More than half of the others lost at
+    once are none: that is more likely our own trouble. Times are ms."""
+    counts = defaultdict(ZoneCount)
+    servers = [s for s in servers if s.started is None or now - s.started >= cold]
+    for server in servers:
+        recent = [heard for heard in server.reports.values() if now - heard.at < span]
+        if recent:
+            count = counts[server.zone]
+            count.servers += 1
+            count.reports += len(recent)
+            count.failed += sum(heard.bad_share > share for heard in recent)
+    failing = {zone for zone, count in counts.items() if count.fails(least)}
+    lost = [server for server in servers if server.zone in failing]
+    for server in lost if 2 * len(lost) <= len(servers) else ():
+        server.lost_at = now
+
+
 class Fleet:
     """The ready servers' sizes at their largest. Successors that stand beside those that have yet to drain count
     until these do: at a release of the half in two waves the fleet looked a third larger than it ever was."""
@@ -126,6 +167,8 @@
         self.streak, self.mute, self.probing, self.returning, self.failing = 0, 0, False, False, False
         # Shut out at the proxies; ever so; whether some proxies may not know which holds now.
         self.out, self.shut_once, self.doubt, self.owned = False, False, False, []
+        self.reports = {}  # by reporting zone, Heard
+        self.lost_at = -1e12  # with its zone; what answers after that has most likely started anew
         self.ill_till, self.rest = None, 0.0
         self.load = self.capacity = self.sure = 0.0
         self.turn = None  # from 0 to 1, at which part of a slice a controller of several rounds up
@@ -135,9 +178,16 @@
         for tally in (self.latency, self.outcomes, self.held):
             tally.halve()
 
+    def warmth(self, now, cold, cold_from):
+        """The part of its capacity that it surely has at `now` (ms), from `cold_from` at its start to 1 after `cold` ms."""
+        # A start that is to come, by another clock, is one that was just now.
+        begun = max(self.lost_at, self.started if self.started is not None else -1e12)
+        grown = (now - begun) / max(cold, 1.0)
+        return min(1.0, cold_from + (1 - cold_from) * max(0.0, grown))
+
     def forget(self):
-        self.latency, self.outcomes = Tally(len(self.latency.bins)), Tally(2)
-        self.ill_till, self.rest, self.returning = None, 0.0, True
+        self.latency, self.outcomes, self.reports = Tally(len(self.latency.bins)), Tally(2), {}
+        self.ill_till, self.rest, self.returning, self.lost_at = None, 0.0, True, -1e12
         self.streak = self.mute = 0
 
 
@@ -181,6 +231,13 @@
     return push
 
 
+def connections_held(proxies, servers, rest):
+    """The connections that stand open at one of so many servers where all is even: a proxy keeps one for `rest` ms after
+    its last operation there."""
+    each = rest / 1000.0 / max(servers, 1)
+    return sum(1.0 - exp(-p.rate * each) for p in proxies if p.joined)
+
+
 def departed(servers, slices):
     """The servers that the list no longer has and no slice knows."""
     used = {s for piece in slices for table in (piece.present, piece.wanted) for s in table}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -260,6 +260,108 @@
     assert (servers[0].ill_till is not None) == ill
 
 
+# Zones that are lost
+
+def zone_of(servers, number):
+    return [s for s in servers if s.zone == number]
+
+
+def presumed_cold(c):
+    return [s for s in c.servers if s.grade == rules.COLD]
+
+
+@pytest.mark.parametrize("failing, probes, since, lost", [
+    (3, False, 0.0, True),     # the fourth server of the zone was not heard
+    (2, False, 0.0, True),     # most of those heard
+    (1, False, 0.0, False),    # single servers do not speak for their zone
+    (3, True, 0.0, False),     # what is probed is known one by one
+    (3, False, 2 * rules.NEWS * 1000.0, False)])
+def test_servers_of_a_zone_that_fails_as_a_whole_count_as_cold(failing, probes, since, lost):
+    c = controller(probes=probes)
+    servers = fleet(c, 12)
+    for number, server in enumerate(zone_of(servers, 0)[:3]):
+        heard(c, server, 3, 2 if number < failing else 0)
+    for server in zone_of(servers, 1) + zone_of(servers, 2):
+        heard(c, server, 3)
+    c.now += since
+    c.judge()
+    assert presumed_cold(c) == (zone_of(servers, 0) if lost else [])
+    assert all(s.sure == pytest.approx(0.2 * s.size) for s in presumed_cold(c))
+
+
+@pytest.mark.parametrize("heard_of, lost", [(rules.ZONE_HEARD - 1, 0), (rules.ZONE_HEARD, 4)])
+def test_few_servers_do_not_speak_for_their_zone(heard_of, lost):
+    c = controller()
+    servers = fleet(c, 12)
+    for server in zone_of(servers, 0)[:heard_of]:
+        heard(c, server, 3, 2)
+    c.judge()
+    assert len(presumed_cold(c)) == lost
+
+
+def test_zones_that_fail_together_are_our_own_trouble():
+    c = controller()
+    for server in fleet(c, 12):
+        heard(c, server, 3, 2 if server.zone else 0)
+    c.judge()
+    assert not presumed_cold(c)
+
+
+def test_a_lost_zone_keeps_what_it_bears_when_it_comes_back_cold():
+    c = controller()
+    servers = fleet(c, 12)
+    made = slices(c, servers * 4)
+    join(c, 4)
+    for server in servers:
+        heard(c, server, 3, 0 if server.zone else 2)
+    c.booted_at = -1e9
+    c.judge()
+    c.plan()
+    kept = [sum(p.owner() is s for p in made) for s in zone_of(servers, 0)]
+    assert all(count <= 1.25 * c.bearable(s) for count, s in zip(kept, zone_of(servers, 0))) and max(kept) < 4
+    assert all(p.owner().zone for p in made if p.owner() not in zone_of(servers, 0))
+
+
+def test_a_server_that_fails_with_its_zone_is_no_full_one_though_its_last_answers_were_slow():
+    c = controller()
+    servers = fleet(c, 12)
+    for server in servers:
+        heard(c, server, 3, 0 if server.zone else 2)
+    slow = zone_of(servers, 0)[0]
+    heard(c, slow, 20, 10, latency=900.0)
+    c.judge()
+    assert slow.grade == rules.ILL and len(presumed_cold(c)) == 3
+
+
+def test_once_its_reports_are_good_a_zone_warms_up_as_after_a_start():
+    c = controller()
+    servers = fleet(c, 12)
+    for bad in (1, 0):
+        for server in zone_of(servers, 0):
+            heard(c, server, 3, bad)
+        c.judge()
+        c.now += 1000.0
+    assert [s.grade for s in zone_of(servers, 0)] == [rules.COLD] * 4
+    c.now += 16_000.0
+    c.judge()
+    assert not presumed_cold(c)
+
+
+def test_a_start_that_is_told_is_newer_than_the_loss_of_the_zone():
+    c = controller()
+    servers = fleet(c, 12)
+    for server in servers:
+        heard(c, server, 3, 0 if server.zone else 2)
+    c.judge()
+    back = zone_of(servers, 0)
+    c.members(core.Members("changes", [core.Entry(s, "ready", c.now - 8000.0, 0, 0, 0, 1.0) for s in back]))
+    c.now += 1000.0
+    for server in back:
+        heard(c, server, 3, 2)
+    c.judge()
+    assert all(s.sure == pytest.approx(s.size * (0.2 + 0.8 * 9000.0 / 16_000.0)) for s in back)
+
+
 @pytest.mark.parametrize("dead, ill", [(2, 2), (4, 0)])
 def test_more_than_half_ill_is_our_own_trouble(dead, ill):
     c = controller()
