Tests: what follows a watched wait gets the usual patience, not the 0.1 s of the wait

Cause: the test shortens the listener's timeout to 0.1 s to go on sending empty lines while it waits, and left it so for the connection that comes after the wait; `looked_at` of the crossings did the same. What is asserted, 6 s to the list and the whole list asked for, stays. Change: the timeout is the world's again after the wait.

--- a/tests/net/test_crossing_discovery.py
+++ b/tests/net/test_crossing_discovery.py
@@ -4,7 +4,7 @@
 import orjson
 import pytest
 from helpers import GRANT, ROW, listed
-from world import CHUNKED, chunk, head, subscribe
+from world import CHUNKED, PATIENCE, chunk, head, subscribe
 
 END = b"0\r\n\r\n"
 
@@ -66,9 +66,11 @@
         for watch in watches:
             watch.send(chunk(b"\n"))
         try:
-            return world.discovery.next("whole")
+            found = world.discovery.next("whole")
         except TimeoutError:
             continue
+        world.discovery.listener.settimeout(PATIENCE)
+        return found
     raise AssertionError("the whole list is not looked at")
 
 
--- a/tests/net/test_list_checks.py
+++ b/tests/net/test_list_checks.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import feed as feed_bytes
 from helpers import front, listed, quiet, told
-from world import CHUNKED, chunk, head
+from world import CHUNKED, PATIENCE, chunk, head
 
 from havendyke import interface as core
 from havendyke.config import Limits
@@ -325,6 +325,7 @@
             check = world.discovery.next("watch")
         except TimeoutError:
             assert time.monotonic() - began < 6.0
+    world.discovery.listener.settimeout(PATIENCE)
     assert check.path.endswith("since=1")
     check.send(CHUNKED, drain(2))
     assert world.logged("list", version=2)["scope"] == "changes"
