Names: the field's terms for the fleet's states, ejected servers, latency; judge divided

Change: overloaded, congested, connections_exhausted, collapsed, errors_elevated, latency_threshold, relative_latency (of a server), requests (of a slice), ejected, ejected_once, unconfirmed, hot_periods. `judge` calls halve, judge_fleet, mark_lost_zones, suspect, silent and grade. When a zone counts as lost is decided in policy/health.py now; state.py only counts what was heard of it. `lab scale run` and `measure` refuse a folder that is not there at once: a run of 6 min 28 s ended in "No such file or directory" when its record was to be written (two rows of the table of wrong calls).

--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -422,7 +422,7 @@
         for o in orders:
             digest.update(told(o).encode())
         for server in door.controller.servers:
-            for value in (server.load, server.capacity, server.sure, server.heat):
+            for value in (server.load, server.capacity, server.sure, server.relative_latency):
                 hold(math.isfinite(value) and value >= -1e-6, "server", server.id, "has a figure of", value)
         if draw.below(16) == 15 and not door.inbox:
             door.forget(2)
--- a/havendyke/cli/lab.py
+++ b/havendyke/cli/lab.py
@@ -6,6 +6,7 @@
 from .main import Wrong, as_json, tell
 
 RECORDS = Path("benchmarks/records")
+FOLDER = click.Path(path_type=Path, exists=True, file_okay=False, writable=True)
 
 
 @click.group("lab")
@@ -66,7 +67,7 @@
 @click.option("--workers", type=click.IntRange(1), default=1, show_default=True, help="Processes of hollow assigners.")
 @click.option("--real", "reals", type=click.IntRange(0, 3), default=0, show_default=True,
               help="Real assigners on loopback after the hollow ones.")
-@click.option("--into", type=click.Path(path_type=Path), help="A folder for the record; without it, it is printed.")
+@click.option("--into", type=FOLDER, help="A folder for the record; without it, it is printed.")
 @click.option("--name", default="run", show_default=True, help="The record's name.")
 @limits_options
 def run(axes, workers, reals, into, name, seed, seconds, memory_mb):
@@ -90,7 +91,7 @@
 
 
 @scale.command()
-@click.option("--into", type=click.Path(path_type=Path), default=RECORDS, show_default=True)
+@click.option("--into", type=FOLDER, default=RECORDS, show_default=True)
 @click.option("--at-once", type=click.IntRange(1, 16), default=3, show_default=True, help="Runs beside each other.")
 @click.option("--only", default="", help="Points whose names have this in them.")
 @limits_options
--- a/havendyke/door.py
+++ b/havendyke/door.py
@@ -25,7 +25,7 @@
         if new and ident in self.shut:
             # A name that comes back is still shut at the proxies: it must be opened before it is used.
             del self.shut[ident]
-            made.doubt = made.shut_once = True
+            made.unconfirmed = made.ejected_once = True
         return made
 
     def forget(self, kept: int) -> list:
@@ -35,7 +35,7 @@
         for server in left:
             self.controller.servers.remove(server)
             del self.servers[server.id]
-            if server.out or server.doubt:
+            if server.ejected or server.unconfirmed:
                 self.shut[server.id] = None
         while len(self.shut) > kept:
             del self.shut[next(iter(self.shut))]
--- a/havendyke/lab/peers.py
+++ b/havendyke/lab/peers.py
@@ -344,7 +344,7 @@
             if tables[piece] != relay.store[piece]:
                 wrong.append(f"slice {piece} {tables[piece]} in place of {relay.store[piece]}")
         named = {host for piece in relay.given for host in relay.store[piece]}
-        out = {s.id for s in c.servers if s.out} & named
+        out = {s.id for s in c.servers if s.ejected} & named
         for proxy in sorted(relay.joined):
             if relay.shut[proxy] & named != out:
                 wrong.append(f"proxy {proxy} leaves out {sorted(relay.shut[proxy] & named)}, not {sorted(out)}")
--- a/havendyke/observed.py
+++ b/havendyke/observed.py
@@ -62,7 +62,7 @@
         # A proxy that was away missed what was shut and opened, and holds what it held before. Once a look,
         # for all of a fleet join in one.
         for server in self.servers if self.rejoined else ():
-            server.doubt = server.doubt or server.shut_once
+            server.unconfirmed = server.unconfirmed or server.ejected_once
         self.rejoined = False
 
     def parted(self, event):
@@ -83,7 +83,7 @@
         event.slice.cleared = None
         # Spares in the store at the start were laid by one before us, who may have left servers shut.
         for server in event.slice.present if self.serial == 0 and len(event.slice.present) > 1 else ():
-            server.doubt = True
+            server.unconfirmed = True
         self.urgent = True
 
     def server_report(self, event):
@@ -103,7 +103,7 @@
             event.server.held.add(3 * log2(1.0 + max(event.load["held"], 0.0)), 1.0)
 
     def slice_report(self, event):
-        event.slice.heat.add(event.operation, event.count)
+        event.slice.requests.add(event.operation, event.count)
         self.came += event.count
 
     def probed(self, event):
--- a/havendyke/policy/admission.py
+++ b/havendyke/policy/admission.py
@@ -28,16 +28,16 @@
             return
         self.levelled_at, (good, bad), came = self.now, self.tried.bins, self.came
         self.tried, self.came = Tally(2), 0.0
-        if self.strained and self.jammed and bad > 2 * BUSY * (good + bad):
+        if self.overloaded and self.congested and bad > 2 * BUSY * (good + bad):
             self.level = max(LEVEL_LEAST, min(self.level, LEVEL_AIM * good / max(came, 1.0)))
             self.levelled_at += LEVEL_EVERY  # what was let in before must drain first
-        elif not (self.strained and self.jammed):
+        elif not (self.overloaded and self.congested):
             self.level = min(1.0, LEVEL_UP * self.level)
 
     def tries(self):
         # Further tries after any failure help against single servers, and drown a fleet that is full.
         # A connection that is refused costs nothing, and the next server may have one free.
-        cheap = self.crammed and not self.jammed
-        keen = 0 if (self.strained or self.busy) and not cheap else self.repeatable
-        rest = (self.all_classes & ~keen, 0 if self.strained and not cheap else 1)
+        cheap = self.connections_exhausted and not self.congested
+        keen = 0 if (self.overloaded or self.errors_elevated) and not cheap else self.repeatable
+        rest = (self.all_classes & ~keen, 0 if self.overloaded and not cheap else 1)
         return [core.Tries(mask, self.level, further) for mask, further in (rest, (keen, 2)) if mask]
--- a/havendyke/policy/health.py
+++ b/havendyke/policy/health.py
@@ -21,12 +21,13 @@
     def __init__(self, settings):
         super().__init__(settings, BINS)
         s = settings
-        self.sore = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
+        self.latency_threshold = 3 * log2(max(SORE * min(c.quoted for c in s.classes), 9.0) / 8.0)
         self.cold_from, self.probes, self.report_period = s.cold_from, s.probes, s.report_period
         # Where the list states no sizes, a quick server may be a small one: its coolness counts for less.
         self.spans = (0.5, 1.6) if s.sized else (0.75, 1.35)
         self.halved_at, self.booted_at, self.settled_push = -1e9, None, 0
-        self.strained = self.busy = self.jammed = self.crammed = self.drowned = False
+        self.overloaded = self.congested = self.collapsed = self.errors_elevated = False
+        self.connections_exhausted = False
 
     def probed(self, event):
         super().probed(event)
@@ -37,43 +38,14 @@
             server.streak == DEAD_PROBES or server.mute in (MUTE_PROBES, MUTE_PROBES * JAM))
 
     def judge(self):
+        """One look at everything that was heard: the state of the fleet, who is ill, each server's grade."""
         self.settled_push = answered_by(self.proxies, SETTLED)
-        if self.now >= self.halved_at + HALF_LIFE:
-            self.halved_at = self.now
-            for kept in self.servers + self.slices:
-                kept.halve()
-            self.fleet.largest *= 0.98
-        ready, suspects = [s for s in self.servers if s.state == "ready"], []
-        self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
-        # Where the middle server fails too, all are full or we are cut off: emptying one drowns the next.
-        middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
-        self.strained = middle > (CALM if self.strained else STRAIN)
-        slow = [s.latency.middle() or 0.0 for s in ready if s.outcomes.bins[0]]
-        self.jammed = middle_of(slow, self.sore) >= self.sore
-        good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
-        self.busy = bad > (CALM if self.busy else BUSY) * (good + bad)
-        self.drowned = self.jammed and bad > BAD_SHARE * (good + bad)
-        if not self.probes and not self.strained:
-            # A lost zone comes back cold, told so seconds later; its servers are heard too seldom one by one.
-            state.mark_lost_zones(ready, self.now, NEWS * self.report_period, BAD_SHARE, ZONE_HEARD, self.cold)
-        for server in ready:
-            good, bad = server.outcomes.bins
-            # A full server fails too, but beside slow answers: emptying it would only drown the next. So does
-            # one whose connections are all taken, and those of what it loses are opened at the next.
-            server.failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad)
-            slow, held = (server.latency.middle() or 0.0) >= self.sore, server.held.middle()
-            # Unanswered probes count only while good news of others flows: the silence may be ours. Full ones
-            # answer late; so do far ones, but those hold no more than others.
-            missed = server.outcomes.bins[0] * (self.now - server.good_at) / (1.5 * HALF_LIFE)
-            full = self.strained or missed < MISSED or slow and (held is None or held > self.usual_held + 2)
-            silent = server.mute >= MUTE_PROBES * (JAM if full else 1)
-            mute = silent and self.now - self.good_at < NEWS * self.report_period < self.now - server.good_at
-            if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
-                server.ill_till, server.returning = None, True
-            elif server.ill_till or server.streak >= DEAD_PROBES or mute or (
-                    server.failing and (not slow or server.lost_at == self.now)
-                    and not self.strained and not self.crammed):
-                suspects.append(server)
+        self.halve()
+        ready = [s for s in self.servers if s.state == "ready"]
+        self.judge_fleet(ready)
+        if not self.probes and not self.overloaded:
+            self.mark_lost_zones(ready)
+        suspects = [s for s in ready if self.suspect(s)]
         # More than half ill at once is more likely our own cut, a stall or overload.
         for server in suspects if 2 * len(suspects) <= len(ready) else ():
             if server.ill_till is None:
@@ -84,13 +56,66 @@
         # A stale list at a start may lack what the store's lines name; the new one comes soon after.
         listed = self.listed or self.now - self.booted_at > 3000.0
         for server in self.servers:
-            at = server.latency.middle()
-            server.heat = 2 ** ((at - median) / 3) if at is not None and median is not None else 1.0
-            warmth = server.warmth(self.now, self.cold, self.cold_from)
-            # Beside a jammed fleet a cold server is heard to be cool: what it surely can do leaves that out.
-            # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
-            server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], server.heat))
-            slow = max(server.heat, 2 ** ((at - self.sore) / 3) if at is not None else 0.0)
-            server.sure = server.size * warmth / max(1.0, min(3.0, slow))
-            server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
-                            else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
+            self.grade(server, median, listed)
+
+    def halve(self):
+        if self.now >= self.halved_at + HALF_LIFE:
+            self.halved_at = self.now
+            for kept in self.servers + self.slices:
+                kept.halve()
+            self.fleet.largest *= 0.98
+
+    def judge_fleet(self, ready):
+        self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
+        # Where the middle server fails too, all are full or we are cut off: emptying one drowns the next.
+        middle = middle_of([s.outcomes.bins[1] / max(1.0, sum(s.outcomes.bins)) for s in ready], 0.0)
+        self.overloaded = middle > (CALM if self.overloaded else STRAIN)
+        slow = [s.latency.middle() or 0.0 for s in ready if s.outcomes.bins[0]]
+        self.congested = middle_of(slow, self.latency_threshold) >= self.latency_threshold
+        good, bad = (sum(s.outcomes.bins[k] for s in ready) for k in (0, 1))
+        self.errors_elevated = bad > (CALM if self.errors_elevated else BUSY) * (good + bad)
+        self.collapsed = self.congested and bad > BAD_SHARE * (good + bad)
+
+    def mark_lost_zones(self, ready):
+        # A lost zone comes back cold and is told so seconds later; those told already are left out. Without
+        # probes its servers are heard too seldom one by one. More than half at once is our own trouble.
+        untold = [s for s in ready if s.started is None or self.now - s.started >= self.cold]
+        heard = state.heard_by_zone(untold, self.now - NEWS * self.report_period, BAD_SHARE)
+        failing = {zone for zone, h in heard.items() if h.servers >= ZONE_HEARD and 2 * h.failed > h.reports}
+        lost = [s for s in untold if s.zone in failing]
+        for server in lost if 2 * len(lost) <= len(untold) else ():
+            server.lost_at = self.now
+
+    def suspect(self, server):
+        good, bad = server.outcomes.bins
+        # A full server fails too, but beside slow answers: emptying it would only drown the next. So does one
+        # whose connections are all taken, and those of what it loses are opened at the next.
+        server.failing = good + bad >= BAD_TRIES and bad > BAD_SHARE * (good + bad)
+        slow = (server.latency.middle() or 0.0) >= self.latency_threshold and server.lost_at != self.now
+        if server.ill_till and self.now > server.ill_till and not server.streak + server.mute:
+            server.ill_till, server.returning = None, True
+            return False
+        return server.ill_till or server.streak >= DEAD_PROBES or self.silent(server) or (
+            server.failing and not slow and not self.overloaded and not self.connections_exhausted)
+
+    def silent(self, server):
+        # Unanswered probes count only while good news of others flows: the silence may be ours. Full ones
+        # answer late; so do far ones, but those hold no more than others.
+        slow, held = (server.latency.middle() or 0.0) >= self.latency_threshold, server.held.middle()
+        missed = server.outcomes.bins[0] * (self.now - server.good_at) / (1.5 * HALF_LIFE)
+        full = self.overloaded or missed < MISSED or slow and (held is None or held > self.usual_held + 2)
+        mute = server.mute >= MUTE_PROBES * (JAM if full else 1)
+        return mute and self.now - self.good_at < NEWS * self.report_period < self.now - server.good_at
+
+    def grade(self, server, median, listed):
+        at = server.latency.middle()
+        heard = at is not None and median is not None
+        server.relative_latency = latency = 2 ** ((at - median) / 3) if heard else 1.0
+        warmth = server.warmth(self.now, self.cold, self.cold_from)
+        # Beside a congested fleet a cold server is heard to be quick: what it surely can do leaves that out.
+        # One slow by the median or by quoted times, though the bounds let it have more, is near its fall.
+        server.capacity = server.size * warmth / max(self.spans[0], min(self.spans[1], latency))
+        slow = max(latency, 2 ** ((at - self.latency_threshold) / 3) if at is not None else 0.0)
+        server.sure = server.size * warmth / max(1.0, min(3.0, slow))
+        server.grade = (CLOSED if server.state != "ready" and (server.state or listed)
+                        else ILL if server.ill_till is not None else COLD if warmth < 1 else WARM)
--- a/havendyke/policy/load.py
+++ b/havendyke/policy/load.py
@@ -28,19 +28,19 @@
         if (joined, ready) != self.counted:
             self.counted, held = (joined, ready), state.connections_held(self.proxies, ready, self.rest)
             self.filled = held / self.connections if self.connections else 0.0
-            self.crammed = BURST * self.filled > 1.0
+            self.connections_exhausted = BURST * self.filled > 1.0
             # So many controllers hold slices of one server.
             self.sharers = min(self.instances, max(1.0, self.sliced / max(ready, 1)))
 
     def weigh(self, mine):
         # What was not yet heard of a slice counts as the mean: one just given is not light.
         heard = [max(0.0, min(1.0, (self.now - p.given_at) / HEARD)) for p in mine]
-        raw = [sum(w * b for w, b in zip(self.work, p.heat.bins)) for p in mine]
+        raw = [sum(w * b for w, b in zip(self.work, p.requests.bins)) for p in mine]
         mean, self.heard = sum(raw) / max(1.0, sum(heard)), sum(raw) > 0
         for server in self.servers:
             server.load, server.owned = 0.0, []
-        for piece, heat, part in zip(mine, raw, heard):
-            piece.demand = 0.1 + 0.9 * (heat / mean + 1 - part) if mean else 1.0
+        for piece, work, part in zip(mine, raw, heard):
+            piece.demand = 0.1 + 0.9 * (work / mean + 1 - part) if mean else 1.0
             if owner := piece.owner():
                 owner.load, owner.owned = owner.load + piece.demand, owner.owned + [piece]
         total = sum(p.demand for p in mine)
@@ -50,7 +50,7 @@
         self.fleet.count([s for s in self.servers if s.state == "ready"], COLD)
         # After a start neither demand nor strain is known. Where the middle server is slow and all fail as
         # one that fails does, they are full: newcomers not heard yet make the middle one look well.
-        wary = self.strained or self.drowned or self.now - self.booted_at < WARY
+        wary = self.overloaded or self.collapsed or self.now - self.booted_at < WARY
         self.usual = COLD_PART[wary] * self.overload * total / max(self.fleet.largest, 1e-6)
 
     def part(self, server, more=0.0):
--- a/havendyke/policy/push.py
+++ b/havendyke/policy/push.py
@@ -85,7 +85,7 @@
         return orders + [core.Mark(self.serial % 65536, silent)]
 
     def covered(self, piece):
-        return any(not s.out and s.grade >= (COLD if s is piece.owner() else WARM) for s in piece.present)
+        return any(not s.ejected and s.grade >= (COLD if s is piece.owner() else WARM) for s in piece.present)
 
     def shutters(self, room, easy, again):
         # One line shuts a server out of all slices: theirs, times the proxies, outlast a drain's grace. Only
@@ -93,24 +93,25 @@
         users, orders = users_of(self.slices), []
         for s in sorted(self.servers if self.sliced and not self.one_owner else (), key=lambda s: s.grade):
             if s.grade <= ILL:
-                shut = s.out or bool(users[s]) and all(self.covered(p) for p in users[s])
+                shut = s.ejected or bool(users[s]) and all(self.covered(p) for p in users[s])
             else:
                 # A cold one must not get all of its past at once.
-                shut = s.out and not all(p.owner() is s or p.pull(s) < 0.1 for p in users[s])
+                shut = s.ejected and not all(p.owner() is s or p.pull(s) < 0.1 for p in users[s])
             # Told again only after what is new, and where a table names it: many may have joined at once.
-            tell = shut != s.out or again and s.doubt and users[s]
+            tell = shut != s.ejected or again and s.unconfirmed and users[s]
             if tell and len(orders) < (room if s.grade <= ILL else easy):
-                s.out, s.shut_once, s.doubt = shut, s.shut_once or shut, False
+                s.ejected, s.ejected_once, s.unconfirmed = shut, s.ejected_once or shut, False
                 orders.append(core.Withdraw(s, shut))
         return orders
 
     def pressing(self, piece):
-        open_to = {s: w for s, w in piece.present.items() if not s.out}
+        open_to = {s: w for s, w in piece.present.items() if not s.ejected}
         gone = [s.grade for s, w in open_to.items() if s not in piece.wanted
                 and (s.grade <= ILL or s.grade == COLD and w == max(open_to.values()))]
         # A slice with one line that works comes before moves: whatever takes that server leaves it bare.
         rank = CLOSED - 1 if not open_to else min(gone, default=WARM)
-        if rank == WARM and any(s.out and s.grade >= COLD and s not in piece.wanted for s in piece.present):
+        left = [s for s in piece.present if s not in piece.wanted]
+        if rank == WARM and any(s.ejected and s.grade >= COLD for s in left):
             rank = COLD
         elif rank == WARM and sum(s.grade >= COLD for s in open_to) > 1:
             rank += 2 if piece.laid() else 0
@@ -129,8 +130,8 @@
         # Out of a server that must go comes only the new owner's line, for one more shuts it; spares wait. So
         # do those of slices with no line left: taken over by the dozen, they kept a withdrawal past its
         # grace.
-        bare = all(s.out for s in piece.present)
-        hurry, owner = bare or any(s.grade <= ILL and not s.out for s in piece.present), piece.owner()
+        bare = all(s.ejected for s in piece.present)
+        hurry, owner = bare or any(s.grade <= ILL and not s.ejected for s in piece.present), piece.owner()
         if hurry and owner and piece.present.get(owner) != piece.wanted[owner]:
             out = {**piece.present, owner: piece.wanted[owner]}
         else:
@@ -139,6 +140,6 @@
         if not piece.laid():
             light = SPARE * piece.wanted.get(owner, 0.0)
             out |= {s: w for s, w in piece.present.items() if s not in out
-                    and (s.grade <= ILL if s.out else not hurry and w <= light)}
+                    and (s.grade <= ILL if s.ejected else not hurry and w <= light)}
         lines = [core.Line(piece, s, w) for s, w in out.items() if piece.present.get(s) != w]
         return lines + [core.Line(piece, s, 0.0) for s in piece.present if s not in out], out
--- a/havendyke/policy/rebalance.py
+++ b/havendyke/policy/rebalance.py
@@ -42,7 +42,7 @@
                 over -= piece.demand
         for piece in sorted(lost, key=lambda p: -p.demand):
             owner = piece.owner()
-            to = self.choose(piece, [s for s in self.servers if s is not owner and not s.out])
+            to = self.choose(piece, [s for s in self.servers if s is not owner and not s.ejected])
             # From one ill server to another is no rescue, only churn.
             if owner is None or owner.grade in (CLOSED, COLD) or to and to.grade > ILL:
                 self.move(piece, to)
@@ -79,7 +79,7 @@
         # A spare that takes over keeps its weight: each line saved covers another slice before the next loss.
         weight = weight if weight > LEAST else 1.0
         piece.wanted = {s: w for s, w in piece.wanted.items() if to and s is not to and w < weight
-                        and (s is not old or to.out and s.grade == WARM)}
+                        and (s is not old or to.ejected and s.grade == WARM)}
         if to:
             piece.wanted[to] = weight
             to.load += piece.demand
@@ -94,14 +94,14 @@
 
     def take_back(self, mine):
         # A shut server that is well again opens with what it can carry of its lines: all anew take too long.
-        for server in [s for s in self.servers if s.out and s.grade >= COLD]:
+        for server in [s for s in self.servers if s.ejected and s.grade >= COLD]:
             for piece in [p for p in mine if p.pull(server) > 0.9 and p.owner() is not server]:
                 if self.fits(server, piece.demand, FULL):
                     self.move(piece, server)
 
     def refill(self, mine):
         # One slice a push for each server that came back: the filler would take the rest of the day.
-        back = [s for s in self.servers if s.returning and s.grade >= COLD and not s.out]
+        back = [s for s in self.servers if s.returning and s.grade >= COLD and not s.ejected]
         for server in back:
             server.returning = server.grade == COLD or self.part(server) < 0.8
         back = sorted([s for s in back if self.now - s.got_at >= PUSH_GAP], key=self.part)
@@ -127,30 +127,33 @@
             for server in self.servers:
                 # Demand shows a crowded server seconds before its latency does, and where latency is silent.
                 # Where the list states no sizes, a part of the demand tells nothing of fullness.
-                crowded = self.sized and server.heat > 0.9 and self.part(server) > CROWDED
-                server.hot = server.hot + 1 if server.grade >= COLD and (crowded or server.heat > GAP) else 0
+                crowded = self.sized and server.relative_latency > 0.9 and self.part(server) > CROWDED
+                hot = server.grade >= COLD and (crowded or server.relative_latency > GAP)
+                server.hot_periods = server.hot_periods + 1 if hot else 0
         if not self.heard or self.now - self.good_at > 2 * NEWS * self.report_period:
-            return  # with no news, heat is of the past
+            return  # with no news, latency is of the past
         # A server that this controller hardly uses is unheard, yet may be full of others' slices.
         # One that is jammed beside a fleet that is not gives a slice a push: it works on what was given up.
         # One that is only slower than others, not by quoted times, keeps what it has: a moved slice finds its
         # keys cold, and its connections stand twice until the giver's have rested.
         # A period is that of all holders of a server: five that each gave and chose made 100 moves a second.
-        hot = [s for s in self.servers if s.hot >= FILL_REPORTS and (s.latency.middle() or 0.0) >= self.sore
+        hot = [s for s in self.servers if s.hot_periods >= FILL_REPORTS
+               and (s.latency.middle() or 0.0) >= self.latency_threshold
                and self.now - s.gave_at > self.sharers * (
-                   PUSH_GAP - 1 if s.failing and not self.strained else FILL)]
-        cool = [s for s in self.servers if s.grade == WARM and not s.out and s.heat < 1.1
+                   PUSH_GAP - 1 if s.failing and not self.overloaded else FILL)]
+        cool = [s for s in self.servers if s.grade == WARM and not s.ejected and s.relative_latency < 1.1
                 and (s.held.middle() or 0.0) <= self.usual_held
                 and self.now - max(s.gave_at, s.got_at) > FILL * self.sharers]
-        for giver in sorted(hot, key=lambda s: -max(s.heat, self.part(s))):
+        for giver in sorted(hot, key=lambda s: -max(s.relative_latency, self.part(s))):
             for piece in sorted(giver.owned, key=lambda p: -p.demand):
                 if self.now - piece.moved_at <= FILL_REST or not self.settled(piece) or self.moves <= 0:
                     continue
-                fit = [s for s in cool if s is not giver and s.heat < giver.heat
+                fit = [s for s in cool if s is not giver and s.relative_latency < giver.relative_latency
                        and self.fits(s, piece.demand, FULL)
                        and (not self.sized or self.part(s, piece.demand) < self.part(giver))]
                 if fit:
-                    fit.sort(key=lambda s: self.part(s, piece.demand) * (1.0 if self.sized else s.heat))
+                    weights = {s: 1.0 if self.sized else s.relative_latency for s in fit}
+                    fit.sort(key=lambda s: self.part(s, piece.demand) * weights[s])
                     # Chance among the best, two for each controller: the others see the same coolest servers.
                     to = fit[int(min(2 * self.instances, len(fit)) * self.chance.draw())]
                     self.move(piece, to)
@@ -164,7 +167,7 @@
             return s.grade == WARM or s.grade == COLD and s.assumed
         if owner is None or [steady(s) for s in piece.wanted if s is not owner] == [True]:
             return
-        good = [s for s in self.servers if steady(s) and s is not owner and not s.out]
+        good = [s for s in self.servers if steady(s) and s is not owner and not s.ejected]
         away = [s for s in good if s.zone != owner.zone] or good  # whatever takes the owner may take its zone
         piece.wanted = {owner: piece.wanted[owner]}
         if away:
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -83,36 +83,25 @@
 
 
 @dataclass(slots=True)
-class ZoneCount:
-    """A zone's servers that were heard lately, their reports, and how many of these tell of failure."""
+class HeardOfZone:
+    """A zone's servers that were heard lately, the reports of them, and how many of these tell of failure."""
     servers: int = 0
     reports: int = 0
     failed: int = 0
 
-    def fails(self, least):
-        """Whether most reports tell of failure, where at least `least` servers were heard: single ones do not speak for
-        their zone."""
-        return self.servers >= least and 2 * self.failed > self.reports
 
-
-def mark_lost_zones(servers, now, span, share, least, cold):
-    """Notes `now` as the time when a server was lost with its zone (`lost_at`), for all servers of each zone most of whose
-    reports of the last `span` ms tell that more than this share of their tries failed. Servers whose start within the
-    last `cold` ms was told are left out: that is newer than what their reports tell. More than half of the others lost at
-    once are none: that is more likely our own trouble. Times are ms."""
-    counts = defaultdict(ZoneCount)
-    servers = [s for s in servers if s.started is None or now - s.started >= cold]
+def heard_by_zone(servers, since, share):
+    """`HeardOfZone` by zone, of reports that came after `since` (ms); one tells of failure where more than this share of
+    its tries failed."""
+    zones = defaultdict(HeardOfZone)
     for server in servers:
-        recent = [heard for heard in server.reports.values() if now - heard.at < span]
+        recent = [heard for heard in server.reports.values() if heard.at > since]
         if recent:
-            count = counts[server.zone]
-            count.servers += 1
-            count.reports += len(recent)
-            count.failed += sum(heard.bad_share > share for heard in recent)
-    failing = {zone for zone, count in counts.items() if count.fails(least)}
-    lost = [server for server in servers if server.zone in failing]
-    for server in lost if 2 * len(lost) <= len(servers) else ():
-        server.lost_at = now
+            zone = zones[server.zone]
+            zone.servers += 1
+            zone.reports += len(recent)
+            zone.failed += sum(heard.bad_share > share for heard in recent)
+    return zones
 
 
 class Fleet:
@@ -164,11 +153,11 @@
         self.id, self.name = ident, str(ident).encode()
         self.state, self.started = None, None      # state None: in a line of the store, in no list yet
         self.assumed = False                       # its start was made up by a recovery from an old list
-        self.zone, self.size, self.grade, self.heat, self.hot = 0, 1.0, 0, 1.0, 0
+        self.zone, self.size, self.grade, self.relative_latency, self.hot_periods = 0, 1.0, 0, 1.0, 0
         self.latency, self.outcomes, self.held = Tally(bins), Tally(2), Tally(bins)
         self.streak, self.mute, self.probing, self.returning, self.failing = 0, 0, False, False, False
         # Shut out at the proxies; ever so; whether some proxies may not know which holds now.
-        self.out, self.shut_once, self.doubt, self.owned = False, False, False, []
+        self.ejected, self.ejected_once, self.unconfirmed, self.owned = False, False, False, []
         self.reports = {}  # by reporting zone, Heard
         self.lost_at = -1e12  # with its zone; what answers after that has most likely started anew
         self.ill_till, self.rest = None, 0.0
@@ -198,12 +187,12 @@
         self.id, self.mixed = ident, blake2b(f"{ident}/".encode(), digest_size=7)
         self.held, self.zone, self.given_at = False, None, -1e9         # zone: a bound table for classes kept in their zone
         self.present, self.wanted = {}, {}
-        self.heat = Tally(classes)
+        self.requests = Tally(classes)  # by class
         self.demand, self.moved_at, self.push = None, -1e9, None
         self.cleared = None  # sole owners: the push that took its line out, while it has none
 
     def halve(self):
-        self.heat.halve()
+        self.requests.halve()
 
     def owner(self):
         return max(self.wanted, key=self.wanted.get) if self.wanted else None
@@ -214,7 +203,7 @@
     def pull(self, server):
         """The part of the slice that a server which is shut out would get if it were opened."""
         there = self.present.get(server, 0.0)
-        return there and there / (there + sum(w for s, w in self.present.items() if not s.out))
+        return there and there / (there + sum(w for s, w in self.present.items() if not s.ejected))
 
 
 class Proxy:
--- a/tests/lab/test_scale_tools.py
+++ b/tests/lab/test_scale_tools.py
@@ -88,6 +88,8 @@
         (["run", "--name", "../x"], "a record's name"),
         (["run", "--seconds", "1"], "longer than 1 s"),
         (["run", "--memory-mb", "64", "hollow=1", "tasks=8", "proxies=1"], "MB of the 64"),
+        (["run", "--into", "/nonexistent/records"], "does not exist"),
+        (["measure", "--into", "/nonexistent/records"], "does not exist"),
         (["nosuch"], "No such command"),
     ],
 )
--- a/tests/recovery/test_starts.py
+++ b/tests/recovery/test_starts.py
@@ -68,7 +68,7 @@
     w = life.start(discovery=False)
     w.pass_time(6000)
     assert life.grades().get("s2", CLOSED) == CLOSED  # let go of, once nothing names it
-    out = {s.id for s in w.assigner.door.controller.servers if s.out}
+    out = {s.id for s in w.assigner.door.controller.servers if s.ejected}
     assert "s2" not in w.relay.store[1] or "s2" in out
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,7 +26,7 @@
             c.custody(core.Custody(piece, True))
             c.stored(core.Stored(piece, known[owners[ident]], 1.0))
             piece.given_at = -1e9
-            piece.heat.add(0, 10.0)
+            piece.requests.add(0, 10.0)
         made.append(c)
     return made
 
@@ -89,7 +89,7 @@
         for server in c.servers:
             heard(c, server, 20, latency=900.0 if server is c.servers[0] else 100.0 + int(server.id[1:]))
         c.judge()
-        c.servers[0].hot = FILL_REPORTS
+        c.servers[0].hot_periods = FILL_REPORTS
         before = {p: p.owner() for p in c.slices if p.held}
         c.plan()
         got.update(p.owner().id for p, owner in before.items() if p.owner() is not owner and p.owner())
@@ -102,13 +102,13 @@
     servers = fleet(c, 20)
     for piece in slices(c, [servers[k % 20] for k in range(160)]):
         piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     for p in join(c, 150):
         p.rate = 1.6
     for server in servers:
         heard(c, server, 20, latency=latency if server is servers[0] else 100.0)
     c.judge()
-    servers[0].hot = FILL_REPORTS
+    servers[0].hot_periods = FILL_REPORTS
     c.plan()
     return sum(p.owner() is not servers[k % 20] for k, p in enumerate(c.slices))
 
@@ -162,7 +162,7 @@
     servers = fleet(c, 20)
     for piece in slices(c, [servers[k % 16] for k in range(160)]):
         piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     for p in join(c, 150):
         p.rate = 1.6
     servers[19].returning = True
@@ -195,7 +195,7 @@
             for server in c.servers:
                 heard(c, server, 20, latency=900.0 if server is hot else 100.0)
             c.judge()
-            hot.hot = FILL_REPORTS
+            hot.hot_periods = FILL_REPORTS
             before = len(hot.owned) or 8
             c.plan()
             for piece in c.slices:
@@ -234,7 +234,7 @@
     servers = fleet(c, 60)
     for piece in slices(c, [servers[k % 30] for k in range(300)]):
         piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     join(c, 150)
     asked = Counter()
     settled, c.settled = c.settled, lambda piece: asked.update([piece.id]) or settled(piece)
@@ -280,7 +280,7 @@
     servers = fleet(c, 8) + fleet(c, 4, started=c.now - 8000.0)
     for piece in slices(c, [servers[8 + k % 2] for k in range(30)] + [servers[k] for k in range(8)]):
         piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     join(c, 20)
     for server in servers[10:]:
         server.returning = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -397,12 +397,12 @@
     servers = fleet(c, 4)
     made = slices(c, [servers[0]] * 6 + servers[1:2])
     join(c, 1)
-    c.heard, c.good_at, c.reported_at, servers[0].hot = True, c.now, c.now, FILL_REPORTS
+    c.heard, c.good_at, c.reported_at, servers[0].hot_periods = True, c.now, c.now, FILL_REPORTS
     for s, ops in zip(servers, (9, 2, 2, 30)):
         c.told(core.Probed(s, "answered", 5.0, {"held": ops}))
     heard(c, servers[0], 20, latency=900.0)
     c.judge()
-    servers[0].heat = 3.0
+    servers[0].relative_latency = 3.0
     c.weigh(made)
     c.heard = True
     c.fill(made)
@@ -464,7 +464,7 @@
     c.level = 0.5
     c.judge()
     c.shed()
-    assert c.strained and c.level > 0.5
+    assert c.overloaded and c.level > 0.5
 
 
 @pytest.mark.parametrize("repeat, group, window, keen", [
@@ -617,7 +617,7 @@
     join(c, 2)
     for piece in made[:6]:
         piece.present, piece.wanted = {a: 1.0, b: SPARE}, {b: SPARE}
-    a.out, a.started = True, c.now - 4000.0 if cold else None
+    a.ejected, a.started = True, c.now - 4000.0 if cold else None
     c.judge()
     c.plan()
     assert sum(p.owner() is a for p in made) == back
@@ -628,7 +628,7 @@
     c = controller()
     a, b = fleet(c, 2)
     made = slices(c, [a, b])
-    a.shut_once = True
+    a.ejected_once = True
     join(c, 1)
     c.recall()
     assert shut(c, made) == [core.Withdraw(a, False)]
@@ -673,7 +673,7 @@
         piece.given_at = c.now - 60_000.0
     pieces[0].given_at = c.now - age
     for piece in pieces[1:]:
-        piece.heat.add(0, 30.0)
+        piece.requests.add(0, 30.0)
     c.weigh(pieces)
     assert (pieces[0].demand < 0.9 * pieces[1].demand) == light
 
@@ -687,15 +687,15 @@
     join(c, 1)
     for piece in made:
         piece.moved_at = piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     for k, s in enumerate(servers):
         heard(c, s, 100, 60 if k == 0 else others_bad, 900.0 if k == 0 else 100.0)
-        s.hot = 3 if k == 0 else 0
+        s.hot_periods = 3 if k == 0 else 0
     servers[0].gave_at = c.now - PUSH_GAP
     c.good_at = c.reported_at = c.now
     c.judge()
     c.weigh(made)
-    assert c.busy and c.strained != gives
+    assert c.errors_elevated and c.overloaded != gives
     c.fill(made)
     assert (servers[0].gave_at == c.now) == gives
 
@@ -727,7 +727,7 @@
         c.stored(core.Stored(piece, drained, 1.0))
     join(c, 2)
     shut.state = drained.state = "draining"
-    shut.out = shut.shut_once = True
+    shut.ejected = shut.ejected_once = True
     c.judge()
     c.plan()
     return c, drained, empty
--- a/tests/test_sole_owner.py
+++ b/tests/test_sole_owner.py
@@ -138,12 +138,12 @@
     servers = fleet(c, 10)
     for piece in slices(c, [servers[k % 10] for k in range(40)]):
         piece.given_at = -1e9
-        piece.heat.add(0, 10.0)
+        piece.requests.add(0, 10.0)
     join(c, 20)
     for server in servers:
         heard(c, server, 20, bad=10 if server is servers[0] else 0, latency=1900.0 if server is servers[0] else 100.0)
     c.judge()
-    servers[0].hot = FILL_REPORTS
+    servers[0].hot_periods = FILL_REPORTS
     c.plan()
     return c, servers[0]
 
@@ -165,7 +165,7 @@
     c, jammed = jammed_server(ENOUGH)
     c.emit()
     c.now += PUSH_GAP
-    jammed.hot = FILL_REPORTS
+    jammed.hot_periods = FILL_REPORTS
     c.plan()
     first = [p for p in c.slices[::10] if p.owner() is not jammed]
     assert not any(isinstance(o, core.Clear) and o.slice in first for o in c.emit())
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -47,11 +47,11 @@
 def test_a_name_that_comes_back_after_it_was_forgotten_is_opened_before_it_is_used(shut):
     assigner, _ = front()
     server = assigner.door.server("s9")
-    server.state, server.out = "gone", shut
+    server.state, server.ejected = "gone", shut
     assigner.door.inbox = []
     assigner.sweep()
     assert "s9" not in assigner.door.servers
-    assert assigner.door.server("s9").doubt == shut and not assigner.door.shut
+    assert assigner.door.server("s9").unconfirmed == shut and not assigner.door.shut
 
 
 def test_an_idle_deadline_of_a_broken_connection_does_not_end_the_next():
