A zone whose proxies are gone at once is lost: known seconds before reports tell

Ruled out as a sign: reports from within the zone (a lost zone's last good ones come for 4 s; n1 had 9 good tries from within at 16 s in a lost zone, and 9 in one that was cut off). At fault: nothing counted proxies by zone; a loss that was told by news at once was waited for in sums of 4 to 15 s.

Change: ObservedState counts joined proxies by zone; where at most a tenth is left of the most lately, and of 5 at least, the zone is lost. The estimate of what waits in the channel, no decision, is in observed.py. Tests: two in the laboratory, whose reports come too late, fail without it; units of each clause. The check of a drain's reserve stubs the estimate with its new arguments.

--- a/havendyke/observed.py
+++ b/havendyke/observed.py
@@ -1,4 +1,5 @@
 """What a controller was told, applied to its servers, slices, proxies and pushes: no rule and no tuned value."""
+from collections import defaultdict
 from math import log2
 
 from . import state
@@ -19,7 +20,7 @@
         self.tried, self.came, self.queued, self.queued_at = Tally(2), 0.0, 0.0, 0.0
         self.now = self.good_at = self.parted_at = -1e9
         self.listed, self.urgent, self.away, self.rejoined = False, True, False, False
-        self.fleet = state.Fleet()
+        self.fleet, self.zone_proxies = state.Fleet(), defaultdict(state.ZoneProxies)
 
     # What the front asks for, once for each id
 
@@ -55,6 +56,9 @@
 
     def joined(self, event):
         p = event.proxy
+        if p.joined:
+            self.zone_proxies[p.zone].count(-1)
+        self.zone_proxies[event.zone].count(1)
         p.joined, p.rate, p.zone, p.answered, p.bound = True, event.rate, event.zone, 0, False
         self.urgent, self.rejoined = self.urgent or not self.sliced, True
 
@@ -66,6 +70,8 @@
         self.rejoined = False
 
     def parted(self, event):
+        if event.proxy.joined:
+            self.zone_proxies[event.proxy.zone].count(-1)
         event.proxy.joined, event.proxy.answered, self.parted_at = False, 0, self.now
         for push in self.pushes:
             push.settle(event.proxy, self.now + self.lease)
@@ -127,3 +133,15 @@
         self.away, self.queued_at, self.urgent = not event.yes, self.now, True
         for push in [p for p in self.pushes if p.serial % 65536 in event.unsent]:
             self.queued, push.waits = self.queued - push.each * push.count, set()  # none will answer it
+
+    def waiting(self, pace, delay):
+        """An estimate of the lines that wait in the channel, which carries at least `pace` lines a ms; `delay`: a
+        message's mean way, ms."""
+        self.pushes = [push for push in self.pushes if push.waits]
+        # Messages leave one after the other: an answer to a push says that all before it have left.
+        left = max((p.answered for p in self.proxies), default=0)
+        unanswered = sum(push.left(self.now, delay) for push in self.pushes if push.serial >= left)
+        # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
+        past, self.queued_at = self.now - self.queued_at, self.now
+        self.queued = max(0.0, self.queued - past * pace)
+        return min(unanswered, self.queued)
--- a/havendyke/policy/health.py
+++ b/havendyke/policy/health.py
@@ -7,7 +7,9 @@
 
 DEAD_PROBES, MUTE_PROBES, JAM = 2, 3, 5  # in a row: connects refused; no answer, times so many when full
 NEWS, MISSED = 1.6, 2.0  # report periods since a good report, and answers missed, till silence counts
-BAD_SHARE, BAD_TRIES, ZONE_HEARD = 0.3, 6.0, 3  # of tries, at least so many; servers that tell of their zone
+BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
+ZONE_HEARD = 3        # servers that tell of their zone
+ZONE_PROXIES, ZONE_GONE = 5, 0.1  # with at least so many proxies, a zone of which this part is left is lost
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 5000.0, 20000.0  # so long an ill server rests at first, and at most
@@ -43,7 +45,7 @@
         self.halve()
         ready = [s for s in self.servers if s.state == "ready"]
         self.judge_fleet(ready)
-        if not self.probes and not self.overloaded:
+        if not self.probes:
             self.mark_lost_zones(ready)
         suspects = [s for s in ready if self.suspect(s)]
         # More than half ill at once is more likely our own cut, a stall or overload.
@@ -64,6 +66,8 @@
             for kept in self.servers + self.slices:
                 kept.halve()
             self.fleet.largest *= 0.98
+            for proxies in self.zone_proxies.values():
+                proxies.most = max(proxies.joined, 0.95 * proxies.most)  # a zone that is given up is no loss
 
     def judge_fleet(self, ready):
         self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
@@ -77,13 +81,16 @@
         self.collapsed = self.congested and bad > BAD_SHARE * (good + bad)
 
     def mark_lost_zones(self, ready):
-        # A lost zone comes back cold and is told so seconds later; those told already are left out. Without
-        # probes its servers are heard too seldom one by one. More than half at once is our own trouble.
+        # A lost zone's proxies go at once; where they stay, most reports of its servers tell, seconds later.
+        # Its servers come back cold, told so late; those told are left out. More than half is our trouble.
         untold = [s for s in ready if s.started is None or self.now - s.started >= self.cold]
         heard = state.heard_by_zone(untold, self.now - NEWS * self.report_period, BAD_SHARE)
-        failing = {zone for zone, h in heard.items() if h.servers >= ZONE_HEARD and 2 * h.failed > h.reports}
-        lost = [s for s in untold if s.zone in failing]
-        for server in lost if 2 * len(lost) <= len(untold) else ():
+        lost = {zone for zone, h in heard.items()
+                if h.servers >= ZONE_HEARD and 2 * h.failed > h.reports and not self.overloaded}
+        lost |= {zone for zone, proxies in self.zone_proxies.items()
+                 if proxies.most >= ZONE_PROXIES and proxies.joined <= ZONE_GONE * proxies.most}
+        marked = [s for s in untold if s.zone in lost]
+        for server in marked if 2 * len(marked) <= len(untold) else ():
             server.lost_at = self.now
 
     def suspect(self, server):
--- a/havendyke/policy/push.py
+++ b/havendyke/policy/push.py
@@ -25,16 +25,6 @@
             if self.now - push.at <= CROSSED:
                 push.add(event.proxy)
 
-    def waiting(self):
-        self.pushes = [push for push in self.pushes if push.waits]
-        # Messages leave one after the other: an answer to a push says that all before it have left.
-        left = max((p.answered for p in self.proxies), default=0)
-        unanswered = sum(push.left(self.now, self.delay) for push in self.pushes if push.serial >= left)
-        # Proxies that stand still do not answer; the channel empties all the same, at its slowest at least.
-        past, self.queued_at = self.now - self.queued_at, self.now
-        self.queued = max(0.0, self.queued - past * self.pace)
-        return min(unanswered, self.queued)
-
     def emit(self):
         """The one place where the difference between wanted and present becomes orders."""
         if self.now < self.soon or self.away:
@@ -44,7 +34,7 @@
         early = self.now < self.next_push
         changed = [p for p in self.slices if p.held and p.wanted != p.present
                    and (not early or self.pressing(p)[0] <= CLOSED)]
-        each, waiting = max(1, len(joined)), self.waiting()
+        each, waiting = max(1, len(joined)), self.waiting(self.pace, self.delay)
         easy = (self.queue_half - waiting) / each - self.head - 4
         # Beyond half the limit only for the rules: a drain's grace is short, and slices must not be bare.
         room = easy + URGENT * self.queue_half / each
--- a/havendyke/state.py
+++ b/havendyke/state.py
@@ -104,6 +104,17 @@
     return zones
 
 
+@dataclass(slots=True)
+class ZoneProxies:
+    """The proxies of a zone that are joined, and the most that were lately."""
+    joined: int = 0
+    most: float = 0.0
+
+    def count(self, change):
+        self.joined += change
+        self.most = max(self.most, self.joined)
+
+
 class Fleet:
     """The ready servers' sizes at their largest. Successors that stand beside those that have yet to drain count
     until these do: at a release of the half in two waves the fleet looked a third larger than it ever was."""
--- a/tests/lab/test_zone_lost.py
+++ b/tests/lab/test_zone_lost.py
@@ -3,11 +3,14 @@
 from deployment import deployment
 from test_several_controllers import lose_zone, said
 
+from havendyke.lab.controllers import ZONES
 from havendyke.lab.rules import Bounds
 from havendyke.lab.traffic import Sampling
 
 LOST_FOR = 5000.0
+MANY_PROXIES = 18
 LATE = Sampling(period=2000.0, span=6000.0, zones=3, delay=800.0)  # reports of sums over 6 s, and these come late
+RARE = Sampling(period=12_000.0, span=12_000.0, zones=3, delay=800.0)  # mostly later than the servers are back
 SOLE_OWNERS = {"one_owner": True, "lease": 800.0, "lingers": 3000.0, "bare": 12_000.0, "push_delay": 250.0}
 
 
@@ -43,3 +46,26 @@
     group.go(6000.0)
     assert not said(group)
     assert [fall.server for fall in group.falls] == []
+
+
+def deployed(settings):
+    more = {"sampling": RARE, "bounds": Bounds(bare=12_000.0)}
+    group = deployment(5, 1, servers=30, proxies=MANY_PROXIES, group=more, **settings)
+    group.go(4000.0)
+    return group
+
+
+def lose_zone_with_its_proxies(group):
+    for number in range(0, MANY_PROXIES, ZONES):
+        group.part(number)
+        group.after(LOST_FOR, lambda number=number: group.join(number, fresh=True))
+    lose_zone(group, LOST_FOR, (1000.0, 2000.0))
+    group.go(6000.0)
+
+
+@pytest.mark.parametrize("settings", [{}, SOLE_OWNERS], ids=["many", "sole"])
+def test_a_zone_whose_proxies_are_gone_is_lost_before_reports_tell(settings):
+    group = deployed(settings)
+    lose_zone_with_its_proxies(group)
+    assert not said(group)
+    assert [fall.server for fall in group.falls] == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 
 from havendyke import interface as core
 from havendyke.policy.admission import LEVEL_AIM
-from havendyke.policy.health import DEAD_PROBES, ILL_MOST, MUTE_PROBES, NEWS, ZONE_HEARD
+from havendyke.policy.health import DEAD_PROBES, ILL_MOST, MUTE_PROBES, NEWS, ZONE_HEARD, ZONE_PROXIES
 from havendyke.policy.load import COLD_PART, WARY
 from havendyke.policy.rebalance import FILL_REPORTS, PUSH_GAP, SPARE
 from havendyke.state import CLOSED, COLD, ILL, WARM, Push
@@ -77,7 +77,7 @@
     if answered:
         for p in proxies:
             c.caught_up(core.Answered(p, 1, 300.0))
-    assert c.waiting() == most
+    assert c.waiting(c.pace, c.delay) == most
 
 
 def test_proxy_that_joined_anew_is_asked_for_its_mark():
@@ -365,6 +365,83 @@
     assert all(s.sure == pytest.approx(s.size * (0.2 + 0.8 * 9000.0 / 16_000.0)) for s in back)
 
 
+def zones_of_proxies(c, each=ZONE_PROXIES):
+    """Proxies of three zones, joined; by zone."""
+    zones = [[c.proxy(f"{zone}-{k}") for k in range(each)] for zone in range(3)]
+    for zone, proxies in enumerate(zones):
+        for p in proxies:
+            c.joined(core.Joined(p, zone, 5.0, True))
+    return zones
+
+
+def part(c, proxies):
+    for p in proxies:
+        c.parted(core.Parted(p))
+
+
+@pytest.mark.parametrize("each, left, probes, lost", [
+    (ZONE_PROXIES, 0, False, True),
+    (ZONE_PROXIES, 1, False, False),     # restarts, one after the other
+    (10 * ZONE_PROXIES, 5, False, True),  # the first are back
+    (ZONE_PROXIES - 1, 0, False, False),  # so few may restart together
+    (ZONE_PROXIES, 0, True, False)])      # what is probed is known one by one
+def test_servers_of_a_zone_whose_proxies_are_gone_count_as_cold(each, left, probes, lost):
+    c = controller(probes=probes)
+    servers = fleet(c, 12)
+    part(c, zones_of_proxies(c, each)[0][left:])
+    c.judge()
+    assert presumed_cold(c) == (zone_of(servers, 0) if lost else [])
+    assert all(s.sure == pytest.approx(0.2 * s.size) for s in presumed_cold(c))
+
+
+def test_proxies_that_go_in_all_zones_are_our_own_trouble():
+    c = controller()
+    fleet(c, 12)
+    zones = zones_of_proxies(c)
+    part(c, zones[0] + zones[1])
+    c.judge()
+    assert not presumed_cold(c)
+
+
+def test_a_proxy_that_joins_twice_and_parts_once_is_gone():
+    c = controller()
+    servers = fleet(c, 12)
+    gone = zones_of_proxies(c)[0]
+    for p in gone:
+        c.joined(core.Joined(p, 0, 5.0, True))
+    part(c, gone + gone)
+    c.judge()
+    assert presumed_cold(c) == zone_of(servers, 0)
+
+
+def test_once_its_proxies_are_back_a_zone_warms_up_as_after_a_start():
+    c = controller()
+    servers = fleet(c, 12)
+    zones = zones_of_proxies(c)
+    part(c, zones[0])
+    c.judge()
+    for p in zones[0]:
+        c.joined(core.Joined(p, 0, 5.0, True))
+    c.now += 1000.0
+    c.judge()
+    assert presumed_cold(c) == zone_of(servers, 0)
+    c.now += 16_000.0
+    c.judge()
+    assert not presumed_cold(c)
+
+
+def test_a_zone_that_is_given_up_is_lost_no_longer():
+    c = controller()
+    fleet(c, 12)
+    part(c, zones_of_proxies(c, 2 * ZONE_PROXIES)[0])
+    counted = []
+    for _ in range(30):
+        c.judge()
+        counted.append(len(presumed_cold(c)))
+        c.now += 2500.0
+    assert counted[0] == 4 and counted[-1] == 0
+
+
 @pytest.mark.parametrize("dead, ill", [(2, 2), (4, 0)])
 def test_more_than_half_ill_is_our_own_trouble(dead, ill):
     c = controller()
@@ -713,7 +790,7 @@
     c.reached(core.Reached(False, unsent))
     c.reached(core.Reached(True))
     c.now += PUSH_GAP
-    assert (c.waiting() == 0) == room
+    assert (c.waiting(c.pace, c.delay) == 0) == room
 
 
 def taken_over(count, **settings):
@@ -751,7 +828,7 @@
     # Past the second it had less room than before it: the push of a drain waited until the last one was answered.
     c, drained, _ = taken_over(0, queue_limit=116.0)
     c.next_push = c.now + 100 if early else c.now - 100
-    c.waiting = lambda: 0.55 * c.queue_half
+    c.waiting = lambda pace, delay: 0.55 * c.queue_half
     assert core.Withdraw(drained, True) in c.emit()
 
 
