Lost zones: none while the other zones' proxies are away too, and none that is unknown

Servers and proxies of zones that the settings do not name (-1) were one zone to it. At fault: `mark_lost_zones` looked at each zone's proxies by themselves; the bound of one half does not hold once the first zones are back. Change: proxies tell of a loss only while more than half of the other zones' stand; unknown zones are left out; the fading of the most has a name (ZONE_FADES).

--- a/havendyke/policy/health.py
+++ b/havendyke/policy/health.py
@@ -10,6 +10,7 @@
 BAD_SHARE, BAD_TRIES = 0.3, 6.0  # of tries, with at least so many heard
 ZONE_HEARD = 3        # servers that tell of their zone
 ZONE_PROXIES, ZONE_GONE = 5, 0.1  # with at least so many proxies, a zone of which this part is left is lost
+ZONE_FADES = 0.95     # of the most proxies, what still counts after each halving
 BUSY, STRAIN, CALM = 0.06, 0.06, 0.02  # bad part of all tries; of the middle server's; what ends either
 SORE = 0.4            # of the shortest quoted time: failing beside slower answers is taken for overload
 ILL_REST, ILL_MOST = 5000.0, 20000.0  # so long an ill server rests at first, and at most
@@ -67,7 +68,7 @@
                 kept.halve()
             self.fleet.largest *= 0.98
             for proxies in self.zone_proxies.values():
-                proxies.most = max(proxies.joined, 0.95 * proxies.most)  # a zone that is given up is no loss
+                proxies.most = max(proxies.joined, ZONE_FADES * proxies.most)  # a zone given up is no loss
 
     def judge_fleet(self, ready):
         self.usual_held = middle_of([s.held.middle() or 0.0 for s in ready], 0.0)
@@ -83,12 +84,16 @@
     def mark_lost_zones(self, ready):
         # A lost zone's proxies go at once; where they stay, most reports of its servers tell, seconds later.
         # Its servers come back cold, told so late; those told are left out. More than half is our trouble.
-        untold = [s for s in ready if s.started is None or self.now - s.started >= self.cold]
+        known = [s for s in ready if s.zone >= 0]  # an unknown zone is none that can be lost
+        untold = [s for s in known if s.started is None or self.now - s.started >= self.cold]
         heard = state.heard_by_zone(untold, self.now - NEWS * self.report_period, BAD_SHARE)
         lost = {zone for zone, h in heard.items()
                 if h.servers >= ZONE_HEARD and 2 * h.failed > h.reports and not self.overloaded}
-        lost |= {zone for zone, proxies in self.zone_proxies.items()
-                 if proxies.most >= ZONE_PROXIES and proxies.joined <= ZONE_GONE * proxies.most}
+        gone = {zone for zone, proxies in self.zone_proxies.items()
+                if proxies.most >= ZONE_PROXIES and proxies.joined <= ZONE_GONE * proxies.most}
+        # Where the others' are away too the relay was: zones that come back one by one are no loss of one.
+        others = [proxies for zone, proxies in self.zone_proxies.items() if zone not in gone]
+        lost |= gone if 2 * sum(p.joined for p in others) > sum(p.most for p in others) else set()
         marked = [s for s in untold if s.zone in lost]
         for server in marked if 2 * len(marked) <= len(untold) else ():
             server.lost_at = self.now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -403,6 +403,34 @@
     assert not presumed_cold(c)
 
 
+def test_proxies_that_come_back_zone_after_zone_are_no_loss_of_the_last():
+    # A relay or its news were away: all parted, and the first of two zones are joined anew.
+    c = controller()
+    fleet(c, 12)
+    zones = zones_of_proxies(c, 10)
+    part(c, [p for proxies in zones for p in proxies])
+    for zone in (1, 2):
+        for p in zones[zone][:3]:
+            c.joined(core.Joined(p, zone, 5.0, True))
+    c.judge()
+    assert not presumed_cold(c)
+
+
+def test_an_unknown_zone_is_none_that_can_be_lost():
+    c = controller()
+    servers = fleet(c, 12)
+    for server in zone_of(servers, 0):
+        server.zone = -1
+        heard(c, server, 3, 2)
+    strangers = [c.proxy(f"stranger-{k}") for k in range(ZONE_PROXIES)]
+    for p in strangers:
+        c.joined(core.Joined(p, -1, 5.0, True))
+    zones_of_proxies(c)
+    part(c, strangers)
+    c.judge()
+    assert not presumed_cold(c)
+
+
 def test_a_proxy_that_joins_twice_and_parts_once_is_gone():
     c = controller()
     servers = fleet(c, 12)
