Slow start stays cautious while load is shed, since all of it comes back

The limit then went to 0.84 and 1, and each share grew with it.

Now the cautious share, 0.4, holds while load is shed and one adjustment longer, until the load that returns shows in reports. Two cases of the new test failed before.

--- a/havendyke/policy/admission.py
+++ b/havendyke/policy/admission.py
@@ -9,6 +9,7 @@
 # Admits less than the fleet completed, so that requests already queued can drain.
 COMPLETED_SHARE_ADMITTED = 0.9
 MIN_ADMISSION_PROBABILITY = 0.25
+ADMIT_ALL = 1.0
 RECOVERY_FACTOR = 1.5  # of the limit at each adjustment
 SHEDDING_ERROR_RATE = 0.12  # share of failed attempts from which load is shed
 UNLIMITED_REQUESTS_PER_S = 1e6
@@ -31,13 +32,13 @@
     """Lowers the admission probability while the fleet is saturated, and raises it afterwards.
 
     Acts only where proxies shed load by share; otherwise `limit` stays at its first value, which
-    admits everything.
+    admits everything. Writes `load_shed` of the fleet's condition.
     """
 
     def __init__(self, settings: Settings) -> None:
         self._enabled = settings.load_shedding == LoadShedding.BY_SHARE
         by_rate = settings.load_shedding == LoadShedding.BY_RATE
-        self.limit = UNLIMITED_REQUESTS_PER_S if by_rate else 1.0
+        self.limit = UNLIMITED_REQUESTS_PER_S if by_rate else ADMIT_ALL
         self._next_adjustment_ms = -ADJUST_INTERVAL_MS
 
     def adjust(self, now_ms: float, condition: FleetCondition, counts: RequestCounts) -> bool:
@@ -48,6 +49,7 @@
         if not self._enabled or now_ms < self._next_adjustment_ms:
             return False
         self._next_adjustment_ms = now_ms + ADJUST_INTERVAL_MS
+        was_shed = self.limit < ADMIT_ALL
         # Fast failures alone are refused connections: shedding load frees none of them.
         saturated = condition.overloaded and condition.congested
         if saturated and counts.error_rate_exceeds(SHEDDING_ERROR_RATE):
@@ -55,7 +57,9 @@
             # Requests admitted before must drain before the effect can be seen.
             self._next_adjustment_ms += ADJUST_INTERVAL_MS
         elif not saturated:
-            self.limit = min(1.0, RECOVERY_FACTOR * self.limit)
+            self.limit = min(ADMIT_ALL, RECOVERY_FACTOR * self.limit)
+        # Kept for an interval after the limit is lifted, until the load that returns can be seen.
+        condition.load_shed = was_shed or self.limit < ADMIT_ALL
         return True
 
     def _shed(self, counts: RequestCounts) -> None:
--- a/havendyke/policy/fleet_condition.py
+++ b/havendyke/policy/fleet_condition.py
@@ -20,13 +20,17 @@
 
 @dataclass(slots=True)
 class FleetCondition:
-    """What policy modules ask about the fleet; `FleetMonitor` and `ConnectionMonitor` set it."""
+    """What policy modules ask about the fleet.
+
+    `FleetMonitor`, `ConnectionMonitor` and `AdmissionController` set it.
+    """
 
     overloaded: bool = False  # the middle server fails
     congested: bool = False  # the middle server is slow
     collapsed: bool = False  # congested, and many attempts fail
     errors_elevated: bool = False  # among all attempts, at any server
     connections_exhausted: bool = False  # a burst would take every connection a server has
+    load_shed: bool = False  # load is shed, or was so lately that its return has yet to show
     usual_in_flight: float = 0.0  # of the middle server, a position of the in-flight histograms
 
 
--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -36,8 +36,12 @@
         # By the fleet at its peak: with many servers lost, an even part would overload a cold
         # server.
         self.fleet_capacity.observe(ready_servers)
+        # Where load is shed, a slice brings more once all of it is admitted again.
         cautious = (
-            condition.overloaded or condition.collapsed or controller_age_ms < CAUTIOUS_START_MS
+            condition.overloaded
+            or condition.collapsed
+            or condition.load_shed
+            or controller_age_ms < CAUTIOUS_START_MS
         )
         share = CAUTIOUS_OVERLOAD_SHARE if cautious else OVERLOAD_SHARE
         self.load_per_capacity = (
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -13,6 +13,7 @@
 )
 
 from havendyke import interface as core
+from havendyke.policy.admission import ADJUST_INTERVAL_MS
 
 
 def test_slices_beyond_what_a_fleet_that_warms_up_can_carry_get_no_endpoint():
@@ -72,6 +73,30 @@
     assert (scene.baseline_load < 0.6 * full_baseline_load(scene, total_demand)) == reduced
 
 
+@pytest.mark.parametrize(
+    "limit, intervals, reduced",
+    [
+        pytest.param(0.5, 1, True, id="shed"),
+        pytest.param(0.8, 1, True, id="just lifted"),
+        pytest.param(0.8, 2, False, id="lifted for an interval"),
+        pytest.param(1.0, 1, False, id="never shed"),
+    ],
+)
+def test_the_baseline_load_is_reduced_until_all_load_that_was_shed_has_returned(
+    limit, intervals, reduced
+):
+    # A server that was filled at a quarter of the load fell over when all of it came back.
+    scene = ControllerScene()
+    slices = scene.add_slices(scene.add_servers(4))
+    scene.advance(CAUTIOUS_START_MS + 1)
+    scene.admission_probability = limit
+    for _ in range(intervals):
+        scene.adjust_admission()
+        scene.advance(ADJUST_INTERVAL_MS)
+    scene.estimate_demand(slices)
+    assert (scene.baseline_load < full_baseline_load(scene, len(slices))) == reduced
+
+
 def test_a_restarted_server_keeps_only_the_slices_that_it_can_carry():
     scene = ControllerScene()
     restarted, *others = scene.add_servers(4)
