A standby serves a slice whose primary waits to be unejected

Cause, by the controller's own view: the slice was given back to a server that returned ejected. Its entry stood in the table already, so only the standby's was left to publish, and those wait where a slice has no endpoint. The ejection ended 13 s later, when the last slice that the server could not carry had left it.

Now standbys wait only while the primary's own entry is missing. The new test failed before.

--- a/havendyke/policy/table_diff.py
+++ b/havendyke/policy/table_diff.py
@@ -139,13 +139,15 @@
 def _next_table(slice_: Slice) -> dict[Server, float]:
     published = slice_.published
     primary = slice_.primary()
-    # Entries of standbys wait while the slice leaves a server that it must leave, or has no
-    # endpoint: of many slices at once they would keep an ejection behind them past its grace
-    # period.
-    no_endpoint = all(server.ejected for server in published)
+    # Entries of standbys wait while the slice leaves a server that it must leave, or lacks its
+    # primary's entry: of many slices at once they would keep an ejection behind them past its grace
+    # period. Where the primary's entry is there but ejected, the standby is all that serves the
+    # slice until the ejection ends, which may take longer than a table may stay empty.
     must_leave = any(s.health <= UNHEALTHY and not s.ejected for s in published)
-    hurry = no_endpoint or must_leave
-    if hurry and primary and published.get(primary) != slice_.desired[primary]:
+    lacks_primary = primary is not None and published.get(primary) != slice_.desired[primary]
+    no_endpoint = all(server.ejected for server in published)
+    hurry = must_leave or (no_endpoint and lacks_primary)
+    if hurry and primary and lacks_primary:
         table = {**published, primary: slice_.desired[primary]}
     else:
         table = {
--- a/tests/policy/test_table_diff.py
+++ b/tests/policy/test_table_diff.py
@@ -33,3 +33,15 @@
         orders, published = scene.table_difference(slice_)
         scene.set_published(slice_, published)
         assert [(o.server, o.weight) for o in orders] == [entry]
+
+
+def test_a_slice_whose_primary_waits_to_be_unejected_is_served_by_its_standby_until_then():
+    # Slices beyond what the primary can carry leave it first, which may take many pushes.
+    scene = ControllerScene()
+    returned, standby = scene.add_servers(2)
+    (slice_,) = scene.add_slices([returned])
+    scene.set_ejected(returned)
+    scene.set_desired(slice_, {returned: 1.0, standby: STANDBY_WEIGHT})
+    scene.evaluate_health()
+    orders, _ = scene.table_difference(slice_)
+    assert orders == [core.SetEndpointWeight(slice_, standby, STANDBY_WEIGHT)]
