--- a/havendyke/policy/push_scheduler.py
+++ b/havendyke/policy/push_scheduler.py
@@ -144,7 +144,7 @@
         ]
         for slices, confirm in ((uncovered, False), (changed, True)):
             orders += self._ejection.orders(
-                observed.servers, observed.slices, budget, len(orders), confirm
+                observed.servers, observed.slices, push.sent_ms, budget, len(orders), confirm
             )
             for slice_ in sorted(slices, key=order_of_change):
                 self._add_change(orders, slice_, budget, push)
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -139,7 +139,7 @@
     def _remove_unlisted(self, listed: set[Server]) -> None:
         for server in self.servers:
             if server.state is not None and server not in listed:
-                server.state = ServerState.GONE
+                server.set_state(ServerState.GONE, self.now_ms)
 
     def _update_server(self, entry: EndpointEntry) -> None:
         server = entry.server
@@ -150,7 +150,7 @@
             server.start_assumed = not entry.start_confirmed
             if restarted and self.now_ms - started_ms < self.settings.warm_up_ms:
                 server.begin_incarnation()
-        server.state = entry.state
+        server.set_state(entry.state, self.now_ms)
         server.zone = entry.zone
         server.size = entry.size if self.settings.sizes_stated and entry.size > 0 else 1.0
 
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -58,6 +58,7 @@
         self.hash_key = str(ident).encode()
         # From the endpoint list. No state: a published table names it, no list has so far.
         self.state: ServerState | None = None
+        self.left_ms: float | None = None  # when the list first called it draining or gone
         self.started_ms: float | None = None
         self.start_assumed = False  # the start time comes from a cached list that is not trusted
         self.zone = 0
@@ -126,6 +127,14 @@
         self.consecutive_connect_failures = 0
         self.unanswered_checks = 0
 
+    def set_state(self, state: ServerState, now_ms: float) -> None:
+        """Takes over what the endpoint list says at `now_ms`."""
+        if state == ServerState.READY:
+            self.left_ms = None
+        elif self.left_ms is None:
+            self.left_ms = now_ms
+        self.state = state
+
     @property
     def is_ready(self) -> bool:
         """Whether the endpoint list calls the server ready."""
--- a/tests/controller_scene.py
+++ b/tests/controller_scene.py
@@ -343,7 +343,9 @@
     def ejection_orders(self, room: float = 50, room_for_choice: float = 50) -> list[core.Order]:
         """The orders that eject and unject servers, at the end of a push with so much room."""
         budget = PushBudget(room_for_choice, room)
-        return self.controller.pushes._ejection.orders(self.servers, self.slices, budget, 0, True)
+        return self.controller.pushes._ejection.orders(
+            self.servers, self.slices, self.now_ms, budget, 0, True
+        )
 
     def table_difference(self, slice_: Slice) -> tuple[list[core.Order], dict[Server, float]]:
         """The orders that bring a slice nearer to its desired table, and the table after them."""
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -4,6 +4,7 @@
 from controller_scene import STANDBY_WEIGHT, ControllerScene
 
 from havendyke import interface as core
+from havendyke.policy.ejection import MAX_COVER_WAIT_MS
 
 
 def ejections(scene, slices):
@@ -80,3 +81,30 @@
     scene.read_back(slice_, standby, STANDBY_WEIGHT)
     scene.connect_proxies(1)
     assert {o.server for o in ejections(scene, [slice_])} == {primary, standby}
+
+
+@pytest.mark.parametrize(
+    "state, since_ms, max_empty_table_ms, ejected",
+    [
+        pytest.param(core.ServerState.DRAINING, MAX_COVER_WAIT_MS, 5000.0, True, id="late"),
+        pytest.param(core.ServerState.GONE, MAX_COVER_WAIT_MS, 5000.0, True, id="late, gone"),
+        pytest.param(core.ServerState.DRAINING, MAX_COVER_WAIT_MS - 1, 5000.0, False, id="early"),
+        pytest.param(
+            core.ServerState.DRAINING, MAX_COVER_WAIT_MS, 1000.0, False, id="no table may be empty"
+        ),
+        pytest.param(core.ServerState.READY, MAX_COVER_WAIT_MS, 5000.0, False, id="unhealthy"),
+    ],
+)
+def test_a_drain_whose_grace_runs_out_does_not_wait_until_its_slices_have_other_endpoints(
+    state, since_ms, max_empty_table_ms, ejected
+):
+    # Covering the slices of a batch takes several pushes; the last ejection came 0.01 s late.
+    scene = ControllerScene(max_empty_table_ms=max_empty_table_ms)
+    leaving, other = scene.add_servers(2)
+    slices = scene.add_slices([leaving, other])
+    scene.connect_proxies(1)
+    scene.list_servers([leaving], state=state)
+    scene.set_unhealthy_for(leaving, 20_000.0 if state == core.ServerState.READY else None)
+    scene.advance(since_ms)
+    scene.list_servers([leaving], state=state)
+    assert (ejections(scene, slices) == [core.SetEjection(leaving, True)]) == ejected
