The admission limit is not raised while the fleet is collapsed

Cause, by the controller's own view: the limit goes up while the fleet is not overloaded, which asks the middle of all ready servers. Most were warming up without a report and count as free of failures, so it went from 0.56 to 1 while the fleet was congested and more than 30 % of all attempts failed. "Collapsed" asks all attempts.

Now the limit is not raised while the fleet is collapsed; it is lowered as before. A case of the new test failed before.

--- a/havendyke/policy/admission.py
+++ b/havendyke/policy/admission.py
@@ -56,7 +56,8 @@
             self._shed(counts)
             # Requests admitted before must drain before the effect can be seen.
             self._next_adjustment_ms += ADJUST_INTERVAL_MS
-        elif not saturated:
+        # Servers that warm up have no reports and hide the overload of the others in the median.
+        elif not condition.collapsed and not saturated:
             self.limit = min(ADMIT_ALL, RECOVERY_FACTOR * self.limit)
         # Kept for an interval after the limit is lifted, until the load that returns can be seen.
         condition.load_shed = was_shed or self.limit < ADMIT_ALL
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -49,3 +49,21 @@
     scene.evaluate_health()
     scene.adjust_admission()
     assert scene.overloaded and scene.admission_probability > 0.5
+
+
+@pytest.mark.parametrize("failures, raised", [(50, False), (5, True)])
+def test_the_limit_is_not_raised_while_most_attempts_fail_beside_servers_without_reports(
+    failures, raised
+):
+    # Most servers warm up and have no reports, so that the middle one shows no failures.
+    scene = ControllerScene()
+    reported = scene.add_servers(4)
+    scene.add_servers(6, started_ms=scene.now_ms - 1000.0)
+    (slice_,) = scene.add_slices(reported[:1])
+    for server in reported:
+        scene.report_server(server, 90, failures, 900.0)
+    scene.report_slice(slice_, 400)
+    scene.admission_probability = 0.5
+    scene.evaluate_health()
+    scene.adjust_admission()
+    assert (scene.admission_probability > 0.5) == raised
