A damaged- file without a number no longer ends the start in ValueError

Cause: files moved aside earlier were found by the prefix and sorted by the number after the last hyphen.

--- a/havendyke/recovery/directory.py
+++ b/havendyke/recovery/directory.py
@@ -7,6 +7,7 @@
 that an operator can examine it.
 """
 
+import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -29,6 +30,8 @@
 
 DEFAULT_MAX_LOG_BYTES = 8 << 20
 DAMAGED_PREFIX = "damaged-"
+# Other names with the prefix are an operator's: they are neither counted nor removed.
+DAMAGED_NAME = re.compile(DAMAGED_PREFIX + SNAPSHOT_NAME.pattern)
 MAX_DAMAGED_FILES = 5  # beyond it the oldest is removed
 MAX_GENERATIONS = 2  # the older one is the fallback where the newest snapshot is damaged
 UNFINISHED_SNAPSHOT_NAME = "new"
@@ -185,12 +188,9 @@
         """Renames a damaged file, so that an operator can examine it."""
         try:
             self.disk.rename(name, f"{DAMAGED_PREFIX}{name}")
-            damaged = [
-                other for other in self.disk.list_names() if other.startswith(DAMAGED_PREFIX)
-            ]
-            damaged.sort(key=_trailing_number)
-            for oldest in damaged[:-MAX_DAMAGED_FILES]:
-                self.disk.remove(oldest)
+            damaged = generations(self.disk.list_names(), DAMAGED_NAME)
+            for oldest in damaged[MAX_DAMAGED_FILES:]:
+                self.disk.remove(f"{DAMAGED_PREFIX}{snapshot_name(oldest)}")
         except OSError:
             # It stays where it is; no later generation has its name.
             pass
@@ -225,7 +225,3 @@
             match = SNAPSHOT_NAME.fullmatch(name) or LOG_NAME.fullmatch(name)
             if match and int(match[1]) not in newest:
                 self.disk.remove(name)
-
-
-def _trailing_number(name: str) -> int:
-    return int(name.rpartition("-")[2])
