A file whose number is spelt otherwise is no generation of the state

Cause: names were matched by one to fifteen digits. 02 is the number 2 under another name, and the generation after fifteen nines has sixteen digits, which nothing read any more.

Now a generation's name is the spelling that the program writes, with any number of digits.

--- a/havendyke/recovery/generations.py
+++ b/havendyke/recovery/generations.py
@@ -9,8 +9,9 @@
 from .records import BEGIN, END, Record
 from .state import PersistedState
 
-SNAPSHOT_NAME = re.compile(r"snapshot-([0-9]{1,15})")
-LOG_NAME = re.compile(r"log-([0-9]{1,15})")
+# As `snapshot_name` and `log_name` write them: another spelling of a number is another's file.
+SNAPSHOT_NAME = re.compile(r"snapshot-(0|[1-9][0-9]*)")
+LOG_NAME = re.compile(r"log-(0|[1-9][0-9]*)")
 
 
 class SnapshotError(ValueError):
--- a/tests/recovery/test_directory.py
+++ b/tests/recovery/test_directory.py
@@ -203,3 +203,26 @@
     loaded = StateDirectory(disk).open(write=False)
     assert list(loaded.state.tombstones) == ["s2"]
     assert f"{name}: record 1 cannot be used" in loaded.findings
+
+
+@pytest.mark.parametrize("name", ["snapshot-02", "log-02", "snapshot-3.bak", "log-", "snapshot-٣"])
+def test_names_that_the_program_does_not_write_are_neither_read_nor_removed(name):
+    # A copy under another number counted as a generation, and was removed.
+    memory, states = small_directory()
+    memory.live[name] = bytearray(b"by hand")
+    for _ in range(4):
+        directory = StateDirectory(LabDisk(memory))
+        assert directory.open().state == states[-1]
+        directory.close()
+    assert memory.live[name] == b"by hand"
+    assert sum(other.startswith("snapshot-") for other in memory.live if other != name) == 2
+
+
+def test_a_generation_of_many_digits_is_found_again():
+    memory, states = small_directory()
+    memory.live["snapshot-999999999999999"] = memory.live["snapshot-1"]
+    for _ in range(3):
+        directory = StateDirectory(LabDisk(memory))
+        loaded = directory.open()
+        directory.close()
+    assert loaded.state == states[-1] and "goes by snapshot-1000000000000001" in loaded.findings[-1]
