A folder in the place of an old log no longer makes every commit fail

What operators saw: with a folder named log-1 in the state folder each commit began a new generation and was counted and logged as failed, though it was durable.

Cause: the removal of old generations ends in an OSError for a folder, and that was raised as the commit's own. Evidence: a case of the new test, which failed before.

Now what cannot be removed stays; the generation that stands is not affected by it.

--- a/havendyke/recovery/directory.py
+++ b/havendyke/recovery/directory.py
@@ -9,6 +9,7 @@
 
 import re
 from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 
 from . import records
@@ -224,4 +225,6 @@
         for name in names:
             match = SNAPSHOT_NAME.fullmatch(name) or LOG_NAME.fullmatch(name)
             if match and int(match[1]) not in newest:
-                self.disk.remove(name)
+                # A folder in its place, say: the new generation stands all the same.
+                with suppress(OSError):
+                    self.disk.remove(name)
--- a/tests/recovery/test_directory.py
+++ b/tests/recovery/test_directory.py
@@ -226,3 +226,19 @@
         loaded = directory.open()
         directory.close()
     assert loaded.state == states[-1] and "goes by snapshot-1000000000000001" in loaded.findings[-1]
+
+
+@pytest.mark.parametrize("name", ["log-1", "snapshot-1", "damaged-snapshot-0"])
+def test_a_folder_in_the_place_of_a_file_keeps_no_commit_from_being_made(tmp_path, name):
+    made = commits(6)
+    (tmp_path / name).mkdir()
+    (tmp_path / name / "notes").write_text("by hand")
+    for _ in range(3):
+        directory = StateDirectory(Disk(str(tmp_path)), max_log_bytes=1)
+        loaded = directory.open()
+        assert not any("cannot be written" in finding for finding in loaded.findings)
+        for changes, state in made:
+            directory.commit(changes, state)
+        directory.close()
+    assert StateDirectory(Disk(str(tmp_path))).open(write=False).state == made[-1][1]
+    assert len(list(tmp_path.rglob("notes"))) == 1
