State folder: no link is written through, and no pipe is waited for

Cause: files were opened by name, whatever stood there.

Now only regular files are read, and only a regular file or none is written; the line that says what was not used names the file.

--- a/havendyke/recovery/disk.py
+++ b/havendyke/recovery/disk.py
@@ -1,7 +1,9 @@
 """The system calls that the state's directory needs, so that a test can fail at any of them."""
 
+import errno
 import fcntl
 import os
+import stat
 from typing import Protocol
 
 FILE_MODE = 0o600
@@ -89,12 +91,19 @@
 
     def read(self, name: str) -> bytes:
         """A file's bytes."""
-        with open(self._path(name), "rb") as file:
+        path = self._path(name)
+        # A pipe without a writer would block the start.
+        _require_regular(name, os.stat(path))
+        with open(path, "rb") as file:
             return file.read()
 
     def create(self, name: str) -> int:
         """Opens a file for writing, and empties it where it exists."""
-        return os.open(self._path(name), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
+        path = self._path(name)
+        if os.path.lexists(path):
+            # Through a link, a file elsewhere would be emptied.
+            _require_regular(name, os.lstat(path))
+        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
 
     def write(self, handle: int, data: bytes) -> int:
         """Writes some of the bytes; returns how many."""
@@ -126,3 +135,8 @@
 
     def _path(self, name: str) -> str:
         return os.path.join(self.directory, name)
+
+
+def _require_regular(name: str, status: os.stat_result) -> None:
+    if not stat.S_ISREG(status.st_mode):
+        raise OSError(errno.EINVAL, f"{name} is no regular file")
--- a/tests/recovery/test_directory.py
+++ b/tests/recovery/test_directory.py
@@ -1,5 +1,9 @@
 """Crashes at every call, damage at every byte, and disks that are full, read-only or another's."""
 
+import os
+import subprocess
+import sys
+
 import pytest
 from recovery_states import commits
 
@@ -242,3 +246,28 @@
         directory.close()
     assert StateDirectory(Disk(str(tmp_path))).open(write=False).state == made[-1][1]
     assert len(list(tmp_path.rglob("notes"))) == 1
+
+
+def test_a_link_in_the_place_of_the_next_snapshot_leaves_its_target_as_it_is(tmp_path):
+    target = tmp_path / "other" / "file"
+    target.parent.mkdir()
+    target.write_text("by hand")
+    folder = tmp_path / "state"
+    folder.mkdir()
+    (folder / "new").symlink_to(target)
+    loaded = StateDirectory(Disk(str(folder))).open()
+    assert loaded.findings[-1] == "cannot be written: new is no regular file"
+    assert target.read_text() == "by hand"
+
+
+@pytest.mark.parametrize("name", ["snapshot-1", "log-1", "new"])
+def test_a_pipe_in_the_place_of_a_file_does_not_stop_the_start(tmp_path, name):
+    os.mkfifo(tmp_path / name)
+    code = (
+        "from havendyke.recovery.directory import StateDirectory\n"
+        "from havendyke.recovery.disk import Disk\n"
+        f"directory = StateDirectory(Disk({str(tmp_path)!r}))\n"
+        "assert directory.open().state.servers == {}\n"
+        f"assert (directory.write_error is not None) == {name == 'new'}\n"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True, timeout=20)
