A stored record that is a number or null is damage, and no end of the start

Cause: the record was unpacked as three values under a guard against ValueError alone; what cannot be iterated raises TypeError. Two cases of the test failed before.

--- a/havendyke/recovery/records.py
+++ b/havendyke/recovery/records.py
@@ -131,7 +131,7 @@
 def _parse(payload: bytes) -> Record:
     try:
         serial, kind, fields = orjson.loads(payload)
-    except ValueError:
+    except (ValueError, TypeError):
         raise _FrameError("a record is no array of three") from None
     if type(serial) is not int or type(kind) is not str or type(fields) is not dict:
         raise _FrameError("a record's parts are of other types")
--- a/tests/recovery/test_directory.py
+++ b/tests/recovery/test_directory.py
@@ -90,6 +90,12 @@
         assert StateDirectory(LabDisk(cut)).open(write=False).state in states[:-1]
 
 
+def sealed(payload):
+    """A frame whose checksum is right."""
+    length = len(payload).to_bytes(records.LENGTH_BYTES, "big")
+    return length + records.checksum(length, payload, records.SCHEMA) + payload
+
+
 @pytest.mark.parametrize(
     "data, reason",
     [
@@ -98,6 +104,8 @@
         (records.MAGIC + b"\0\x09", "schema 9"),
         (records.header() + b"\xff" * 40, "claims"),
         (records.header() + records.frame(3, "entry", {"uid": 5}), "does not end"),
+        pytest.param(records.header() + sealed(b"7"), "no array of three", id="number"),
+        pytest.param(records.header() + sealed(b"null"), "no array of three", id="null"),
     ],
 )
 def test_a_damaged_snapshot_is_moved_aside_and_never_overwritten(data, reason):
