A record too large to be stored ends neither the state's writer nor an import

What operators saw: a record over 1 MB (a server with such an address, say) ended the committing thread; every later change was lost and nothing was logged. "state import" of such a state ended in a traceback.

Cause: the thread guards against OSError, the size is a ValueError. A commit that failed so had also moved the log's serials on, so that what followed would have been read as damage. The two new tests failed before (IndexError for the missing log line; the import's ValueError).

--- a/havendyke/cli/state.py
+++ b/havendyke/cli/state.py
@@ -18,6 +18,7 @@
 from ..recovery.disk import Disk
 from ..recovery.generations import describe_error
 from ..recovery.machine_clock import read_timestamp
+from ..recovery.records import RecordSizeError
 from ..recovery.state import PersistedState
 from ..recovery.timestamps import age_of
 from ..recovery.trust import ServerAssessment, assess_all, describe_age
@@ -112,8 +113,8 @@
     directory, _ = _open(folder, write=True)
     try:
         directory.rotate(state)
-    except OSError as error:
-        raise CommandError(f"{folder}: {error.strerror}") from None
+    except (OSError, RecordSizeError) as error:
+        raise CommandError(f"{folder}: {describe_error(error)}") from None
     finally:
         directory.close()
     click.echo(_generation_line(directory, state))
--- a/havendyke/recovery/directory.py
+++ b/havendyke/recovery/directory.py
@@ -65,7 +65,7 @@
         self.generation = 0
         self.log_bytes = 0
         # Why the log cannot be appended to; the next commit begins a new generation.
-        self.write_error: OSError | None = None
+        self.write_error: OSError | records.RecordSizeError | None = None
         self._max_log_bytes = max_log_bytes
         self._lock: int | None = None
         self._log: int | None = None
@@ -100,7 +100,7 @@
         return loaded
 
     def commit(self, changes: Sequence[Change], state: PersistedState) -> None:
-        """Makes the changes durable, all or none; raises OSError.
+        """Makes the changes durable, all or none; raises OSError and `RecordSizeError`.
 
         `state` already has the changes: where the log is full, or a write may have damaged it, all
         of `state` begins a new generation instead.
@@ -110,11 +110,11 @@
             return
         assert self._log is not None, "the directory is not open for writing"
         first_serial = self._next_serial
-        data = self._frames([*map(encode, changes), END_MARKER])
         try:
+            data = self._frames([*map(encode, changes), END_MARKER])
             self._write(self._log, data)
             self.disk.sync(self._log)
-        except OSError as error:
+        except (OSError, records.RecordSizeError) as error:
             # How much of it is on the disk is unknown, so nothing may be appended.
             self.write_error = error
             self._next_serial = first_serial
@@ -124,8 +124,8 @@
     def rotate(self, state: PersistedState) -> None:
         """Begins a new generation with `state` as its snapshot.
 
-        Raises OSError, with the files of the generation before untouched; the next write must be
-        another rotation then, since the log's serials have begun anew.
+        Raises OSError and `RecordSizeError`, with the files of the generation before untouched; the
+        next write must be another rotation then, since the log's serials have begun anew.
         """
         generation = self.generation + 1
         begin_marker: StoredRecord = (records.BEGIN, {"generation": generation})
--- a/havendyke/recovery/records.py
+++ b/havendyke/recovery/records.py
@@ -25,6 +25,10 @@
 END = "end"
 
 
+class RecordSizeError(ValueError):
+    """A record that is too large to be stored."""
+
+
 class RecordFileError(ValueError):
     """A file with a foreign header, or of a schema that this program does not read."""
 
@@ -83,10 +87,10 @@
 
 
 def frame(serial: int, kind: str, fields: Mapping[str, Any], schema: int = SCHEMA) -> bytes:
-    """The bytes of a record; raises ValueError for a payload over `MAX_PAYLOAD_BYTES`."""
+    """The bytes of a record; raises `RecordSizeError` for one over `MAX_PAYLOAD_BYTES`."""
     payload = orjson.dumps([serial, kind, fields], option=orjson.OPT_NON_STR_KEYS)
     if len(payload) > MAX_PAYLOAD_BYTES:
-        raise ValueError(f"a record of {len(payload)} bytes")
+        raise RecordSizeError(f"a record of {len(payload)} bytes")
     length = len(payload).to_bytes(LENGTH_BYTES, "big")
     return length + checksum(length, payload, schema) + payload
 
--- a/havendyke/recovery/writer.py
+++ b/havendyke/recovery/writer.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 
 from .changes import Change
+from .generations import describe_error
+from .records import RecordSizeError
 from .state import PersistedState
 
 
@@ -20,10 +22,10 @@
     """Where changes are committed to; `StateDirectory`, except in tests."""
 
     def commit(self, changes: Sequence[Change], state: PersistedState) -> None:
-        """Makes changes durable, all or none; raises OSError."""
+        """Makes changes durable, all or none; raises OSError and `RecordSizeError`."""
 
     def rotate(self, state: PersistedState) -> None:
-        """Makes a complete state durable; raises OSError."""
+        """Makes a complete state durable; raises OSError and `RecordSizeError`."""
 
 
 @dataclass(frozen=True)
@@ -132,11 +134,11 @@
                     self.log("state_persisted_again")
                 retry_ms = self._options.retry_ms
                 self._count_commit(batch)
-            except OSError as error:
+            except (OSError, RecordSizeError) as error:
                 self.counts["failures"] += 1
                 self.log(
                     "state_not_persisted",
-                    cause=error.strerror or str(error),
+                    cause=describe_error(error),
                     retry_in_ms=retry_ms,
                 )
                 if not self._wait_for_retry(retry_ms):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -15,6 +15,7 @@
 from havendyke.recovery.changes import snapshot
 from havendyke.recovery.directory import StateDirectory
 from havendyke.recovery.disk import Disk
+from havendyke.recovery.records import MAX_PAYLOAD_BYTES
 from havendyke.recovery.state import (
     EvidenceSource,
     PersistedState,
@@ -163,3 +164,13 @@
     process = run(tmp_path, "--operator", str(tmp_path / "op.conf"))
     _, err = process.communicate(timeout=10)
     assert process.returncode == 2 and b"did you mean 'folder'?" in err and err.count(b"\n") == 1
+
+
+def test_a_state_with_a_record_too_large_to_store_is_one_line(folder, tmp_path, capsys):
+    out = json.loads(call(capsys, "state", "export", folder)[1])
+    kind, fields = next(change for change in out["changes"] if change[0] == "entry")
+    out["changes"].append([kind, {**fields, "endpoint": "x" * MAX_PAYLOAD_BYTES}])
+    (tmp_path / "large.json").write_text(json.dumps(out))
+    status, _, told = call(capsys, "state", "import", folder, str(tmp_path / "large.json"))
+    assert status == 2 and f"{folder}: a record of 1048" in told
+    assert call(capsys, "state", "verify", folder)[0] == 0
--- a/tests/recovery/test_writer.py
+++ b/tests/recovery/test_writer.py
@@ -6,9 +6,10 @@
 from recovery_states import commits
 
 from havendyke.lab.disk import LabDisk, Memory
-from havendyke.recovery.changes import SetListVersion
+from havendyke.recovery import records
+from havendyke.recovery.changes import RemoveServer, SetListVersion, SetServer
 from havendyke.recovery.directory import StateDirectory
-from havendyke.recovery.state import PersistedState
+from havendyke.recovery.state import PersistedState, ServerRecord
 from havendyke.recovery.writer import StateWriter, WriterOptions
 
 
@@ -37,3 +38,31 @@
     writer.stop(5)
     directory.close()
     assert StateDirectory(LabDisk(memory)).open().state == state
+
+
+def test_a_record_that_is_too_large_to_store_does_not_end_the_writer():
+    # Every later change was lost, and nothing was logged.
+    memory, logged = Memory(), []
+    directory = StateDirectory(LabDisk(memory))
+    writer = StateWriter(
+        directory,
+        directory.open().state,
+        WriterOptions(gather_ms=1.0, retry_ms=20.0),
+        lambda event, **fields: logged.append((event, fields.get("cause"))),
+    )
+    writer.start()
+    ((changes, state),) = commits(1)
+    writer.submit(changes, lambda: deepcopy(state))
+    assert writer.wait_until_committed(10)
+    state.servers["large"] = ServerRecord(endpoint="x" * records.MAX_PAYLOAD_BYTES)
+    writer.submit([SetServer("large", state.servers["large"])], lambda: deepcopy(state))
+    assert not writer.wait_until_committed(0.3)
+    assert logged[0][0] == "state_not_persisted" and "a record of 1048" in logged[0][1]
+    del state.servers["large"]
+    state.list_version = 7
+    writer.submit([RemoveServer("large"), SetListVersion(7)], lambda: deepcopy(state))
+    assert writer.wait_until_committed(10) and logged[-1][0] == "state_persisted_again"
+    writer.stop(5)
+    directory.close()
+    loaded = StateDirectory(LabDisk(memory)).open()
+    assert loaded.state == state and len(loaded.findings) == 1
