A change that cannot be stored no longer cuts off the end of the process

What operators saw: at SIGTERM, where the last changes held a record that could not be read back, the counters were not printed and pending commits were not waited for.

Cause: each reconciliation guards against such a change, the commit at the end did not, and its RecordError passed the writer's stop, the folder's release and the counters. The new test failed before.

Now the guard is where changes are handed to the writer, for both.

--- a/havendyke/recovery/durable_state.py
+++ b/havendyke/recovery/durable_state.py
@@ -12,6 +12,7 @@
 from ..registry import ObjectRegistry
 from ..state import Server
 from .changes import Change
+from .codec import RecordError
 from .directory import DEFAULT_MAX_LOG_BYTES, DirectoryLockedError, LoadedState, StateDirectory
 from .disk import Disk, StateDisk
 from .generations import describe_error
@@ -215,12 +216,8 @@
         """
         assert self.tracker is not None, "attach comes first"
         raised = self.tracker.record(events, orders)
-        try:
-            self.tracker.learn(self._registry.controller)
-            self._submit(self.tracker)
-        except ValueError as error:
-            # What cannot be stored must not cost the reconciliation, whose orders have left.
-            self.log("state_not_persisted", cause=str(error)[:MAX_ERROR_LENGTH])
+        self.tracker.learn(self._registry.controller)
+        self._submit(self.tracker)
         if not raised:
             return None
         entries = [self._entry(assessment) for assessment in raised]
@@ -260,8 +257,14 @@
             return LoadedState(PersistedState(), findings=(finding,)), False
 
     def _submit(self, tracker: StateTracker) -> None:
-        if self._writer is not None:
+        if self._writer is None:
+            return
+        try:
             self._writer.submit(tracker.take_changes(), tracker.snapshot)
+        except RecordError as error:
+            # What cannot be stored must cost neither the reconciliation, whose orders have left,
+            # nor the end of the process.
+            self.log("state_not_persisted", cause=str(error)[:MAX_ERROR_LENGTH])
 
     def _entry(self, assessment: ServerAssessment) -> core.EndpointEntry:
         record = self.loaded.state.servers.get(assessment.uid, ServerRecord())
--- a/tests/recovery/test_recovered_starts.py
+++ b/tests/recovery/test_recovered_starts.py
@@ -4,10 +4,12 @@
 from helpers import SETTINGS, listed, raw_config
 
 from havendyke import config
+from havendyke import interface as core
 from havendyke.lab.disk import InlineWriter, LabDisk
 from havendyke.lab.hub import feed
 from havendyke.lab.life import Life
 from havendyke.net.resp import encode
+from havendyke.recovery.codec import MAX_WEIGHT
 from havendyke.recovery.durable_state import DurableState, StateOptions
 from havendyke.recovery.timestamps import Timestamp
 from havendyke.state import HEALTHY, UNAVAILABLE, WARMING_UP
@@ -321,3 +323,15 @@
     told = start(7 * DAY)
     assert told["longest_without_a_line_ms"] < 3000 and not told["drained_server_has_traffic"]
     assert max(told["most_of_what_fells_a_cold_server"].values()) < 1.0
+
+
+def test_a_change_that_cannot_be_stored_does_not_keep_the_process_from_its_end():
+    # The counters were not printed, and changes of before were not waited for.
+    life = lived()
+    tracker = life.durable.tracker
+    slice_ = next(s for s in life.world.assigner.registry.controller.slices if s.assigned)
+    slice_.published = {life.world.assigner.registry.server("s1"): 10 * MAX_WEIGHT}
+    tracker.record([core.SliceAssignment(slice_, True)], [])
+    life.durable.close()
+    assert life.world.hub.logged[-1][0] == "state_not_persisted"
+    assert not life.memory.locked
