--- a/fuzz/faults.py
+++ b/fuzz/faults.py
@@ -157,6 +157,13 @@
         "carried_out = True",
         "calls",
     ),
+    Fault(
+        "retried_without_snapshot",
+        "net/unresolved_call.py",
+        "        if self._expected_changes():",
+        "        if False:",
+        "calls",
+    ),
     Fault(
         "grant_not_confirmed",
         "net/slice_assignments.py",
--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -9,6 +9,8 @@
 from havendyke.lab.peers import ENDINGS, World
 from havendyke.net.assigner import Assigner
 from havendyke.net.deadlines import DeadlineQueue
+from havendyke.net.published_tables import apply_order, tables_match
+from havendyke.net.relay_orders import changed_slices
 from havendyke.net.resp import encode
 from havendyke.net.slots import SlotTable
 
@@ -42,6 +44,7 @@
         self.assigner, self.hub, self.steps = self.world.assigner, self.world.hub, steps
         self.relay, self.registry, self.number = self.world.relay, self.world.registry, 0
         self.began, self.addresses, self.spoilt = self.hub.time, ADDRESSES[0], False
+        self.check_retries()
         before(self.assigner)
         self.assigner.start()
         self.world.pass_time(1500)
@@ -49,6 +52,24 @@
     def make(self, hub):
         return Assigner(config.read_config(raw_config(known=known(*SERVERS)), {}), hub)
 
+    def check_retries(self):
+        """A call that may have changed tables is not retried before a snapshot was compared."""
+        relay = self.assigner.relay
+        resolve = relay.call_resolved
+
+        def call_resolved(orders, carried_out):
+            event, fields = self.hub.logged[-1]
+            if not carried_out and not (event == "call_compared" and fields["tables"]):
+                known = relay.watch.slices.tables
+                expected = {s: dict(known[s]) for s in changed_slices(orders) if s in known}
+                for order in orders.values():
+                    apply_order(expected, order)
+                changed = [s for s in expected if not tables_match(expected[s], known[s])]
+                hold(not changed, "retried without a snapshot: slices", changed)
+            resolve(orders, carried_out)
+
+        relay.call_resolved = call_resolved
+
     def run(self, data):
         draw = Draw(data)
         while not draw.over and self.hub.time - self.began < SPAN:
--- a/havendyke/net/unresolved_call.py
+++ b/havendyke/net/unresolved_call.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 from .backoff import Backoff
@@ -36,6 +37,30 @@
         """Goes on with the orders that wait."""
 
 
+class PendingCall:
+    """One call whose outcome is sought: its orders, and the one timer that it waits for.
+
+    Once it is ended nothing that was begun for it has an effect: no timer, no late snapshot.
+    """
+
+    def __init__(self, event_loop: EventLoop, orders: OrdersByKey) -> None:
+        """`orders` may become empty: those made for an earlier table are dropped."""
+        self._event_loop = event_loop
+        self.orders = orders
+        self.ended = False
+        self.waits_for_retry = False
+        self._deadline: Deadline | None = None
+
+    def wait(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        """Calls back after the delay, unless the call is ended before."""
+        self._deadline = self._event_loop.after(delay_ms, callback)
+
+    def end(self) -> None:
+        """Nothing more is to be found out."""
+        self.ended = True
+        self._event_loop.drop(self._deadline)
+
+
 class UnresolvedCall:
     """The call whose outcome is unknown, if there is one.
 
@@ -48,9 +73,7 @@
         self._event_loop = event_loop
         self._watch = watch
         self._owner = owner
-        # None: no call. It may become empty: orders made for an earlier table are dropped.
-        self._orders: OrdersByKey | None = None
-        self._retry_deadline: Deadline | None = None
+        self._pending: PendingCall | None = None
         ack_ms = event_loop.limits.mark_answer
         self._retry_backoff = Backoff(ack_ms, 4 * ack_ms)
         self._newest_nonce: int | None = None
@@ -59,21 +82,24 @@
     @property
     def orders(self) -> OrdersByKey:
         """The orders of the call whose outcome matters; empty where there is none."""
-        return self._orders or {}
+        return self._pending.orders if self._pending else {}
 
     @property
     def is_pending(self) -> bool:
         """Whether there is a call whose outcome is still sought."""
-        return self._orders is not None
+        return self._pending is not None
 
     def begin(self, orders: OrdersByKey, reply_due_ms: float) -> None:
         """The outcome of a call with these orders is unknown.
 
         `reply_due_ms`: until then it may still be carried out.
         """
-        self._orders = orders
+        if self._pending:
+            # All its orders were dropped, so that another call could be made.
+            self._pending.end()
+        call = self._pending = PendingCall(self._event_loop, orders)
         wait_ms = max(0.0, reply_due_ms - self._event_loop.now())
-        self._event_loop.after(wait_ms, lambda: self._investigate(orders))
+        call.wait(wait_ms, lambda: self._investigate(call))
 
     def discard_slice(self, slice_id: int) -> None:
         """Drops the orders that change this slice's table: they are not to be retried."""
@@ -100,20 +126,17 @@
 
     def retry_with_newer_orders(self) -> None:
         """Newer orders are about to leave: what only waits for its retry goes along with them."""
-        if self._retry_deadline is not None:
+        if self._pending and self._pending.waits_for_retry:
             self._resolve(carried_out=False)
 
-    def _investigate(self, orders: OrdersByKey) -> None:
-        if orders is not self._orders:
-            return
+    def _investigate(self, call: PendingCall) -> None:
         if self._expected_changes():
-            self._watch.request_snapshot(lambda tables: self._judge(orders, tables))
+            self._watch.request_snapshot(lambda tables: self._judge(call, tables))
         else:
             # Retried in quick succession and carried out each time, its messages would fill the
             # push channel.
-            self._retry_deadline = self._event_loop.after(
-                self._retry_backoff.next(), lambda: self._judge(orders, {})
-            )
+            call.waits_for_retry = True
+            call.wait(self._retry_backoff.next(), lambda: self._judge(call, {}))
 
     def _expected_changes(self) -> dict[int, Table]:
         """The tables that the call changes, as they are if it was carried out."""
@@ -124,8 +147,8 @@
             apply_order(expected, order)
         return {s: table for s, table in expected.items() if not tables_match(table, known[s])}
 
-    def _judge(self, orders: OrdersByKey, tables: Tables) -> None:
-        if orders is not self._orders:
+    def _judge(self, call: PendingCall, tables: Tables) -> None:
+        if call.ended:
             return
         matches = [
             tables_match(table, tables[slice_id])
@@ -134,7 +157,7 @@
         ]
         self._event_loop.log("call_compared", matching=sum(matches), tables=len(matches))
         carried_out = bool(matches) and all(matches)
-        request = orders.get(ACKNOWLEDGEMENT_KEY)
+        request = call.orders.get(ACKNOWLEDGEMENT_KEY)
         self._resolve(carried_out)
         if carried_out and isinstance(request, AcknowledgementOrder):
             # Tables that were the same before would match as well: only an acknowledgement proves
@@ -151,8 +174,9 @@
             self._owner.send_next()
 
     def _resolve(self, carried_out: bool) -> None:
-        orders, self._orders = self.orders, None
-        self._event_loop.drop(self._retry_deadline)
-        self._retry_deadline = None
+        orders = self.orders
+        if self._pending:
+            self._pending.end()
+        self._pending = None
         self._event_loop.count("relay_found_carried_out" if carried_out else "relay_retried")
         self._owner.call_resolved(orders, carried_out)
