A notification whose method is a list is a bad message and no failure of ours

What operators saw: the watch ended with the reason failure and the counter failures rose, which the on-call page calls a fault of the program.

Cause: the method was looked up among the known ones before its type was checked, and a list cannot be hashed.

Now only a text is looked up.

--- a/fuzz/targets/values.py
+++ b/fuzz/targets/values.py
@@ -400,7 +400,10 @@
         if draw.below(9) == 8:
             params = draw.odd()
         try:
-            line = orjson.dumps({"jsonrpc": "2.0", "method": kind, "params": params})
+            message = {"jsonrpc": "2.0", "method": kind, "params": params}
+            if draw.below(9) == 8:
+                message[draw.choice(("method", "id", "result", "error"))] = draw.odd()
+            line = orjson.dumps(message)
         except (orjson.JSONEncodeError, TypeError):
             continue
         watch(stream, line + b"\n")
--- a/havendyke/net/wire_relay.py
+++ b/havendyke/net/wire_relay.py
@@ -182,7 +182,7 @@
             if message.get("result") is not True:
                 raise FieldError(f"field 'result': {str(message)[:MAX_QUOTED_MESSAGE_CHARS]}")
             return None
-        if method not in NOTIFICATION_TYPES:
+        if not isinstance(method, str) or method not in NOTIFICATION_TYPES:
             raise FieldError(f"field 'method' is unknown: {str(method)[:MAX_QUOTED_WORD_CHARS]}")
         return NOTIFICATION_TYPES[method]
 
