Slow start goes by what an overloaded fleet completes where nothing else bounds it

Cause, by the controller's own view: the server had one fair share of the demand, well under the bound. But the fleet was asked for twice what it could do, load could not be shed, and the server was half the mean size, which the list does not state.

Now, in an overloaded fleet without stated sizes and without load shedding by share, the bound is multiplied by the share of attempts that are completed. A case of the new test failed before.

--- a/havendyke/policy/fleet_condition.py
+++ b/havendyke/policy/fleet_condition.py
@@ -31,6 +31,7 @@
     errors_elevated: bool = False  # among all attempts, at any server
     connections_exhausted: bool = False  # a burst would take every connection a server has
     load_shed: bool = False  # load is shed, or was so lately that its return has yet to show
+    completed_share: float = 1.0  # of all attempts that ended
     usual_in_flight: float = 0.0  # of the middle server, a position of the in-flight histograms
 
 
@@ -71,6 +72,7 @@
             RECOVERED_ERROR_RATE if condition.errors_elevated else ELEVATED_ERROR_RATE
         )
         condition.collapsed = condition.congested and all_failed > COLLAPSED_ERROR_RATE * attempts
+        condition.completed_share = 1.0 - all_failed / max(1.0, attempts)
 
     def _middle_latency(self, servers: Iterable[Server]) -> float:
         latencies = [
--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..interface import Settings
+from ..interface import LoadShedding, Settings
 from ..state import Server
 from ..state.fleet_capacity import FleetCapacity
 from .fleet_condition import FleetCondition
@@ -22,6 +22,9 @@
 
     def __init__(self, settings: Settings) -> None:
         self._overload_factor = min(settings.warm_up_overload_factor, MAX_OVERLOAD_FACTOR)
+        self._capacity_unknown = (
+            not settings.sizes_stated and settings.load_shedding is not LoadShedding.BY_SHARE
+        )
         self.fleet_capacity = FleetCapacity()
         self.load_per_capacity = 0.0
 
@@ -44,6 +47,9 @@
             or controller_age_ms < CAUTIOUS_START_MS
         )
         share = CAUTIOUS_OVERLOAD_SHARE if cautious else OVERLOAD_SHARE
+        if condition.overloaded and self._capacity_unknown:
+            # A fair share of what is asked for is more than one of what the fleet can do.
+            share *= condition.completed_share
         self.load_per_capacity = (
             share
             * self._overload_factor
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -14,6 +14,7 @@
 
 from havendyke import interface as core
 from havendyke.policy.admission import ADJUST_INTERVAL_MS
+from havendyke.policy.slow_start import CAUTIOUS_OVERLOAD_SHARE
 
 
 def test_slices_beyond_what_a_fleet_that_warms_up_can_carry_get_no_endpoint():
@@ -221,3 +222,28 @@
         for part in (0.1, 0.3, 0.5, 0.9, 1.48, 2.6):
             total = sum(int(part + offset) for offset in offsets)
             assert count * part - 1 < total <= count * part + 1e-9
+
+
+@pytest.mark.parametrize(
+    "sizes_stated, shedding, reduced",
+    [
+        pytest.param(False, core.LoadShedding.NONE, True, id="neither is known"),
+        pytest.param(True, core.LoadShedding.NONE, False, id="sizes are stated"),
+        pytest.param(False, core.LoadShedding.BY_SHARE, False, id="load is shed"),
+    ],
+)
+def test_the_baseline_load_goes_by_what_an_overloaded_fleet_completes(
+    sizes_stated, shedding, reduced
+):
+    # At a fair share of twice what the fleet could do, a small server got 6 times its capacity.
+    scene = ControllerScene(sizes_stated=sizes_stated, load_shedding=shedding)
+    servers = scene.add_servers(4)
+    slices = scene.add_slices(servers)
+    for server in servers:
+        scene.report_server(server, 20, 15, 900.0)
+    scene.advance(CAUTIOUS_START_MS + 1)
+    scene.evaluate_health()
+    scene.estimate_demand(slices)
+    cautious = full_baseline_load(scene, len(slices)) * CAUTIOUS_OVERLOAD_SHARE / WARM_UP_LOAD_SHARE
+    completed_share = 0.25 if reduced else 1.0
+    assert scene.baseline_load == pytest.approx(completed_share * cautious)
