A weight order that the relay cannot read is reported back as not published

Cause: an unreadable call is halved until the order at fault is alone, and that one was dropped without a word; an order that the relay can read but not use was reported. Found by asking which state of a call outlives it. The new test failed before.

Now both ways drop, log order_rejected and report the table that stands.

--- a/havendyke/net/relay_client.py
+++ b/havendyke/net/relay_client.py
@@ -333,6 +333,7 @@
         # reported since; a snapshot is requested for it.
         self._carried_out([o for o in orders[:order_count] if o.key not in call.obsolete])
         if order_count < len(orders):
+            self._event_loop.count("relay_partial")
             self._leave_out(orders[order_count])
             remaining = orders[order_count + 1 :]
             self.queue.put_back([o for o in remaining if o.key not in call.obsolete])
@@ -342,7 +343,6 @@
 
     def _leave_out(self, order: RelayOrder) -> None:
         """Drops an order that the relay cannot use; retried, it would block all that follow."""
-        self._event_loop.count("relay_partial")
         self._event_loop.log("order_rejected", order=encode_order(order))
 
     def _report_table_without(self, order: RelayOrder) -> None:
@@ -360,6 +360,9 @@
             # Halving finds the order at fault, so that the others are not lost with it.
             self._max_orders_per_call = len(orders) // 2 or None
             if self._max_orders_per_call is None:
+                for order in orders.values():
+                    self._leave_out(order)
+                    self._report_table_without(order)
                 orders = {}
         self.queue.put_back(orders.values())
         # A relay that answers is up, and need not be spared by longer waits.
--- a/tests/net/test_relay_client.py
+++ b/tests/net/test_relay_client.py
@@ -137,6 +137,21 @@
     assert sorted(taken) == [0, 1, 3]
 
 
+def test_a_single_weight_that_the_relay_cannot_read_is_not_taken_for_published():
+    # The controller believed in an entry that no proxy had, for good.
+    assigner, hub = front()
+    standing(quiet(assigner), hub, GRANT, ROW)
+    told(assigner)
+    call = start_call(hub, assigner, weight_order(4, "s2"))
+    feed(call, [{"id": sent(call)[1], "error": {"message": "SYNTAX"}}])
+    reported = told(assigner, core.SliceAssignment, core.SnapshotEntry)
+    assert [(type(e).__name__, e.slice.id) for e in reported] == [
+        ("SliceAssignment", 4),
+        ("SnapshotEntry", 4),
+    ]
+    assert "order_rejected" in dict(hub.logged)
+
+
 ENDINGS = {
     "broken": lambda c, hub: c.close("reset"),
     "silent": lambda c, hub: hub.pass_time(110),
