An exclusive owner that warms up takes over one slice at a time

Cause, by the controllers' own view: three slices of a drained server, empty for a hand-over of 3.6 s, were given to it in one push, within its bound for steady load. What had waited for them, and what came again, came within the same second.

Now failover chooses such a server for one slice in the time of a hand-over. A case of the new test failed before.

--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from ..interface import Settings
 from ..state import HEALTHY, UNAVAILABLE, UNHEALTHY, WARMING_UP, Server, Slice
 from .demand import demand_of
 from .load_limits import MAX_FAIR_SHARES, LoadLimits, rendezvous_score
@@ -14,7 +15,10 @@
 class Failover:
     """Moves slices off servers that are unavailable, unhealthy, or warming up with too many."""
 
-    def __init__(self, limits: LoadLimits, migrator: SliceMigrator) -> None:
+    def __init__(self, settings: Settings, limits: LoadLimits, migrator: SliceMigrator) -> None:
+        self._hand_over_ms = 0.0
+        if settings.exclusive_ownership:
+            self._hand_over_ms = settings.lease_ms + settings.max_write_in_flight_ms
         self._limits = limits
         self._migrator = migrator
 
@@ -45,13 +49,25 @@
 
     def _fail_over(self, slice_: Slice, servers: Iterable[Server], now_ms: float) -> None:
         primary = slice_.primary()
-        pool = [server for server in servers if server is not primary and not server.ejected]
+        pool = [
+            server
+            for server in servers
+            if server is not primary
+            and not server.ejected
+            and not self._is_taking_over(server, now_ms)
+        ]
         target = self._choose_target(slice_, pool)
         must_leave = primary is None or primary.health in (UNAVAILABLE, WARMING_UP)
         # A migration between two unhealthy servers would spend a push and gain nothing.
         if must_leave or (target is not None and target.health > UNHEALTHY):
             self._migrator.migrate(slice_, target, now_ms)
 
+    def _is_taking_over(self, server: Server, now_ms: float) -> bool:
+        # What waited for slices comes all at once when they are handed over.
+        return (
+            server.health == WARMING_UP and now_ms - server.received_slice_ms < self._hand_over_ms
+        )
+
     def _choose_target(self, slice_: Slice, pool: Sequence[Server]) -> Server | None:
         primary = slice_.primary()
         standbys = [s for s in slice_.desired if s in pool and s.health == HEALTHY]
--- a/tests/policy/test_exclusive_ownership.py
+++ b/tests/policy/test_exclusive_ownership.py
@@ -2,6 +2,7 @@
 
 import pytest
 from controller_scene import (
+    CAUTIOUS_START_MS,
     CONNECT_RACE_WINDOW_MS,
     HANDOVERS_WITHIN_EMPTY_LIMIT,
     LONG_AGO_MS,
@@ -267,3 +268,18 @@
 def test_slices_with_exclusive_ownership_have_no_standby_endpoints():
     scene, _ = overloaded_server(ENOUGH_MS)
     assert all(len(scene.desired(slice_)) == 1 for slice_ in scene.slices)
+
+
+@pytest.mark.parametrize("exclusive, most", [(True, 1), (False, 3)])
+def test_an_owner_that_warms_up_takes_over_one_slice_at_a_time(exclusive, most):
+    # What waited for three slices came at once, and felled a server that could bear them.
+    scene = exclusive_scene() if exclusive else ControllerScene()
+    warming_up, draining, full = scene.add_servers(3)
+    slices = scene.add_slices([draining] * 3 + [full] * 9)
+    scene.advance(CAUTIOUS_START_MS + 1)
+    scene.set_started(warming_up, scene.now_ms - 15_000.0)
+    scene.set_listed_state(core.ServerState.DRAINING, draining)
+    scene.evaluate_health()
+    scene.plan()
+    assert scene.slices_with_primary(warming_up, slices) == most
+    assert not scene.slices_with_primary(draining, slices)
