--- a/benchmarks/_soak_life.py
+++ b/benchmarks/_soak_life.py
@@ -40,6 +40,7 @@
 from ._version import deployed_command
 
 OPERATOR_VARIABLE = "HAVENDYKE_OPERATOR"
+SEEDS_PER_NETWORK = 250
 SLICES = 8
 READY_LIMIT_S = 30.0
 PING_INTERVAL_S = 0.2
@@ -73,7 +74,10 @@
         """Draws what lasts; `start` brings the stand-ins up."""
         self.random = random.Random(seed)
         self.folder = folder
-        self.listen = free_address()
+        # On a loopback address of its own: at the common one, another seed's stand-in might take
+        # the port between two lives.
+        host = f"127.0.{1 + seed // SEEDS_PER_NETWORK}.{1 + seed % SEEDS_PER_NETWORK}"
+        self.listen = f"{host}:{free_address().rpartition(':')[2]}"
         recorder = Recorder()
         self.store = Store(
             {number: {SERVERS[number % len(SERVERS)]: 1.0} for number in range(SLICES)},
--- a/havendyke/net/fleet_summary.py
+++ b/havendyke/net/fleet_summary.py
@@ -9,7 +9,14 @@
 from .event_loop import EventLoop
 
 # Conditions of the fleet, by their names in the controller and in the log.
-CONDITIONS = ("overloaded", "congested", "errors_elevated", "connections_exhausted")
+CONDITIONS = (
+    "overloaded",
+    "congested",
+    "collapsed",
+    "errors_elevated",
+    "connections_exhausted",
+    "load_shed",
+)
 
 # Of the admission limit: a probability, or requests a second, far above this without a limit.
 MAX_LOGGED_LIMIT = 9.0
