Slow start goes by the admitted share while load is shed, not by the cautious one

Cause: load is shed, so servers that warm up were held at 0.4 of what fells them, so the others stayed overloaded and load went on being shed.

Now the bound, 0.75, is multiplied by the admitted share, down to 0.4: what a slice brings grows by the inverse of it. The tests are unchanged.

--- a/havendyke/policy/admission.py
+++ b/havendyke/policy/admission.py
@@ -32,7 +32,7 @@
     """Lowers the admission probability while the fleet is saturated, and raises it afterwards.
 
     Acts only where proxies shed load by share; otherwise `limit` stays at its first value, which
-    admits everything. Writes `load_shed` of the fleet's condition.
+    admits everything. Writes `admitted_share` of the fleet's condition.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -49,7 +49,7 @@
         if not self._enabled or now_ms < self._next_adjustment_ms:
             return False
         self._next_adjustment_ms = now_ms + ADJUST_INTERVAL_MS
-        was_shed = self.limit < ADMIT_ALL
+        former_limit = self.limit
         # Fast failures alone are refused connections: shedding load frees none of them.
         saturated = condition.overloaded and condition.congested
         if saturated and counts.error_rate_exceeds(SHEDDING_ERROR_RATE):
@@ -59,8 +59,7 @@
         # Servers that warm up have no reports and hide the overload of the others in the median.
         elif not condition.collapsed and not saturated:
             self.limit = min(ADMIT_ALL, RECOVERY_FACTOR * self.limit)
-        # Kept for an interval after the limit is lifted, until the load that returns can be seen.
-        condition.load_shed = was_shed or self.limit < ADMIT_ALL
+        condition.admitted_share = min(former_limit, self.limit)
         return True
 
     def _shed(self, counts: RequestCounts) -> None:
--- a/havendyke/policy/fleet_condition.py
+++ b/havendyke/policy/fleet_condition.py
@@ -30,10 +30,16 @@
     collapsed: bool = False  # congested, and many attempts fail
     errors_elevated: bool = False  # among all attempts, at any server
     connections_exhausted: bool = False  # a burst would take every connection a server has
-    load_shed: bool = False  # load is shed, or was so lately that its return has yet to show
+    # Of the requests; kept for an adjustment after it has risen, until the load that returns shows.
+    admitted_share: float = 1.0
     completed_share: float = 1.0  # of all attempts that ended
     usual_in_flight: float = 0.0  # of the middle server, a position of the in-flight histograms
 
+    @property
+    def load_shed(self) -> bool:
+        """Whether proxies reject requests, or did until an adjustment ago."""
+        return self.admitted_share < 1.0
+
 
 class FleetMonitor:
     """Assesses the condition of the fleet from the reports of all ready servers."""
--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -39,14 +39,13 @@
         # By the fleet at its peak: with many servers lost, an even part would overload a cold
         # server.
         self.fleet_capacity.observe(ready_servers)
-        # Where load is shed, a slice brings more once all of it is admitted again.
         cautious = (
-            condition.overloaded
-            or condition.collapsed
-            or condition.load_shed
-            or controller_age_ms < CAUTIOUS_START_MS
+            condition.overloaded or condition.collapsed or controller_age_ms < CAUTIOUS_START_MS
         )
-        share = CAUTIOUS_OVERLOAD_SHARE if cautious else OVERLOAD_SHARE
+        # Where load is shed, a slice brings more once all of it is admitted again.
+        share = max(CAUTIOUS_OVERLOAD_SHARE, OVERLOAD_SHARE * condition.admitted_share)
+        if cautious:
+            share = CAUTIOUS_OVERLOAD_SHARE
         if condition.overloaded and self._capacity_unknown:
             # A fair share of what is asked for is more than one of what the fleet can do.
             share *= condition.completed_share
