Laboratory: the disk in memory with types, whole names and a docstring each

Need: the module stood in our former style: three assignments a line, tuples as handles, words for what is durable that need explaining, no types.

--- a/havendyke/lab/disk.py
+++ b/havendyke/lab/disk.py
@@ -1,49 +1,69 @@
-"""A folder in memory with the calls of `recovery.disk.Disk`, that fails where a disk can.
+"""A directory in memory with the calls of `recovery.disk.Disk`, that fails where a disk can.
 
-What was written but not synced, and names that were changed without a sync of the folder, are lost
-at a crash: all, none or half of it, as `loss` says. `stop_at` is the number of the call at which
-the process dies."""
+What was written and not synced, and names that were changed without a sync of the directory, are
+lost at a crash: all, none or half of it.
+"""
 
 import errno
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ..recovery.changes import Change
+from ..recovery.directory import StateDirectory
+from ..recovery.state import PersistedState
+
+MAX_WRITE_BYTES = 4096  # a write may be short
+LOCK_HANDLE = "lock"
 
 
 class Died(BaseException):
-    """The process is gone at this call; nothing of it runs on."""
+    """The process ends at this call; nothing of it goes on."""
 
 
 class Memory:
-    """What outlives processes: `durable` is what a crash leaves, `live` what the running system
-    shows."""
+    """What outlives processes: `durable` is what a crash leaves, `live` what a process sees."""
+
+    def __init__(self) -> None:
+        self.durable: dict[str, bytes] = {}
+        self.live: dict[str, bytearray] = {}
+        self.locked = False
 
-    def __init__(self):
-        self.durable, self.live, self.locked = {}, {}, False
+    def crash(self, loss: str = "all") -> None:
+        """Ends all processes; `loss` says what is lost of what was not synced.
 
-    def crash(self, loss: str = "all"):
-        """`loss`: "all" that was not synced is gone; "none"; "half": of each file's unsynced end
-        half is left, and names are as they were changed."""
+        "all"; "none"; or "half": of each file's end half is left, and names are as changed.
+        """
         if loss == "none":
             left = {name: bytes(data) for name, data in self.live.items()}
         elif loss == "half":
-            left = {}
-            for name, data in self.live.items():
-                sure = (
-                    len(self.durable.get(name, b""))
-                    if bytes(data).startswith(self.durable.get(name, b""))
-                    else 0
-                )
-                left[name] = bytes(data[: sure + (len(data) - sure) // 2])
+            left = {name: self._half_synced(name) for name in self.live}
         else:
             left = dict(self.durable)
-        self.durable, self.live, self.locked = (
-            left,
-            {n: bytearray(d) for n, d in left.items()},
-            False,
-        )
+        self.durable = left
+        self.live = {name: bytearray(data) for name, data in left.items()}
+        self.locked = False
+
+    def _half_synced(self, name: str) -> bytes:
+        data = bytes(self.live[name])
+        synced = self.durable.get(name, b"")
+        kept = len(synced) if data.startswith(synced) else 0
+        return data[: kept + (len(data) - kept) // 2]
+
+
+class LabFile:
+    """An open file: its name when it was opened, and its bytes."""
+
+    def __init__(self, name: str, data: bytearray) -> None:
+        self.name = name
+        self.data = data
+
+
+def _take_no_time(call: str) -> None:
+    """What a call does before it takes effect, where nothing is to be slow."""
 
 
 class LabDisk:
-    """One process's view of a `Memory`. `full` bytes may be written in all; `read_only` refuses
-    every change; `slow(call)` is told each call's name, and may take its time."""
+    """One process's view of a `Memory`."""
 
     def __init__(
         self,
@@ -51,106 +71,139 @@
         stop_at: int | None = None,
         full: int | None = None,
         read_only: bool = False,
-        slow=lambda call: None,
+        slow: Callable[[str], None] = _take_no_time,
         sync_fails: bool = False,
-    ):
-        self.memory, self.stop_at, self.full, self.read_only, self.slow = (
-            memory,
-            stop_at,
-            full,
-            read_only,
-            slow,
-        )
-        self.sync_fails, self.calls, self.synced = sync_fails, 0, {}
-
-    def call(self, name, changes=True):
-        self.calls += 1
-        if self.stop_at is not None and self.calls >= self.stop_at:
-            raise Died(name)
-        self.slow(name)
-        if changes and self.read_only:
-            raise OSError(errno.EROFS, "Read-only file system")
-
-    def create_directory(self):
-        self.call("create_directory", changes=False)
-
-    def lock(self):
-        self.call("lock")
+    ) -> None:
+        """A disk that works, unless told otherwise.
+
+        `stop_at`: the number of the call at which the process dies. `full`: bytes that may be
+        written. `read_only`: each change is refused. `slow`: called with each call's name.
+        """
+        self.memory = memory
+        self.stop_at = stop_at
+        self.full = full
+        self.read_only = read_only
+        self.slow = slow
+        self.sync_fails = sync_fails
+        self.calls = 0
+        self._synced: dict[int, bytes] = {}  # by the identity of a file's bytes
+
+    def create_directory(self) -> None:
+        """Creates nothing: the directory is there."""
+        self._call("create_directory", changes=False)
+
+    def lock(self) -> Any:
+        """Locks the directory; raises BlockingIOError where it is locked."""
+        self._call("lock")
         if self.memory.locked:
             raise BlockingIOError(errno.EAGAIN, "locked")
         self.memory.locked = True
-        return "lock"
+        return LOCK_HANDLE
 
-    def unlock(self, handle):
+    def unlock(self, handle: Any) -> None:
+        """Releases the lock."""
         self.memory.locked = False
 
-    def list_names(self):
-        self.call("list_names", changes=False)
+    def list_names(self) -> list[str]:
+        """The names of all files, sorted."""
+        self._call("list_names", changes=False)
         return sorted(self.memory.live)
 
-    def read(self, name):
-        self.call("read", changes=False)
-        if name not in self.memory.live:
-            raise OSError(errno.ENOENT, "No such file or directory")
+    def read(self, name: str) -> bytes:
+        """A file's bytes."""
+        self._call("read", changes=False)
+        self._require(name)
         return bytes(self.memory.live[name])
 
-    def create(self, name):
-        self.call("create")
+    def create(self, name: str) -> Any:
+        """Opens a file for writing, and empties it where it exists."""
+        self._call("create")
         self.memory.live[name] = bytearray()
-        return [name, self.memory.live[name]]
+        return LabFile(name, self.memory.live[name])
 
-    def write(self, handle, data):
-        self.call("write")
-        count = min(len(data), 4096)  # a write may be short
+    def write(self, handle: Any, data: bytes) -> int:
+        """Writes some of the bytes; returns how many."""
+        self._call("write")
+        count = min(len(data), MAX_WRITE_BYTES)
         if self.full is not None:
             if self.full <= 0:
                 raise OSError(errno.ENOSPC, "No space left on device")
             count = min(count, self.full)
             self.full -= count
-        handle[1].extend(data[:count])
+        handle.data.extend(data[:count])
         return count
 
-    def sync(self, handle):
-        self.call("sync")
+    def sync(self, handle: Any) -> None:
+        """Makes a file's bytes durable, under the name that it has by now."""
+        self._call("sync")
         if self.sync_fails:
             raise OSError(errno.EIO, "Input/output error")
-        name = next((n for n, data in self.memory.live.items() if data is handle[1]), handle[0])
-        self.synced[id(handle[1])] = bytes(handle[1])
+        names = [name for name, data in self.memory.live.items() if data is handle.data]
+        name = names[0] if names else handle.name
+        self._synced[id(handle.data)] = bytes(handle.data)
         if name in self.memory.durable:
-            self.memory.durable[name] = bytes(handle[1])
+            self.memory.durable[name] = bytes(handle.data)
 
-    def close(self, handle):
-        pass
+    def close(self, handle: Any) -> None:
+        """Closes nothing: the bytes stay in memory."""
 
-    def rename(self, old, new):
-        self.call("rename")
-        if old not in self.memory.live:
-            raise OSError(errno.ENOENT, "No such file or directory")
+    def rename(self, old: str, new: str) -> None:
+        """Renames a file, in the place of one that has the name."""
+        self._call("rename")
+        self._require(old)
         self.memory.live[new] = self.memory.live.pop(old)
 
-    def remove(self, name):
-        self.call("remove")
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        self._call("remove")
+        self._require(name)
         del self.memory.live[name]
 
-    def sync_directory(self):
-        self.call("sync_directory")
+    def sync_directory(self) -> None:
+        """Makes the creations, renames and removals of files durable."""
+        self._call("sync_directory")
         self.memory.durable = {
-            name: self.synced.get(id(data), self.memory.durable.get(name, b""))
+            name: self._synced.get(id(data), self.memory.durable.get(name, b""))
             for name, data in self.memory.live.items()
         }
 
+    def _call(self, name: str, changes: bool = True) -> None:
+        self.calls += 1
+        if self.stop_at is not None and self.calls >= self.stop_at:
+            raise Died(name)
+        self.slow(name)
+        if changes and self.read_only:
+            raise OSError(errno.EROFS, "Read-only file system")
+
+    def _require(self, name: str) -> None:
+        if name not in self.memory.live:
+            raise OSError(errno.ENOENT, "No such file or directory")
+
 
 class InlineWriter:
-    """A writer of no thread: what is submitted is committed before `submit` returns, so that a run
-    is the same every time."""
-
-    def __init__(self, directory, state, options, log):
-        self.directory, self.log, self.counts = directory, log, {"commits": 0, "failures": 0}
+    """A writer without a thread: what is submitted is committed before `submit` returns.
 
-    def start(self):
-        pass
+    A run is the same every time.
+    """
 
-    def submit(self, changes, take_snapshot):
+    def __init__(
+        self,
+        directory: StateDirectory,
+        state: PersistedState,
+        options: object,
+        log: Callable[..., None],
+    ) -> None:
+        self.directory = directory
+        self.log = log
+        self.counts = {"commits": 0, "failures": 0}
+
+    def start(self) -> None:
+        """Begins nothing."""
+
+    def submit(
+        self, changes: Sequence[Change], take_snapshot: Callable[[], PersistedState]
+    ) -> None:
+        """Commits the changes."""
         if not changes:
             return
         try:
@@ -160,5 +213,5 @@
             self.counts["failures"] += 1
             self.log("state_not_persisted", cause=error.strerror)
 
-    def stop(self, timeout_s):
-        pass
+    def stop(self, timeout_s: float) -> None:
+        """Ends nothing: all is committed."""
