--- a/havendyke/lab/plane.py
+++ b/havendyke/lab/plane.py
@@ -89,7 +89,10 @@
 
     def part(self, proxy):
         view = self.view(proxy)
-        view.joined, view.parted_at = False, self.now
+        view.joined = False
+        # One that has not read the store since its last lease ended still writes nothing.
+        if view.read_at <= self.now:
+            view.parted_at = self.now
         view.stream += 1
         return core.ProxyDisconnected(proxy)
 
