Log the slices of servers that warm up, with their load and what slow start admits

Change: event server_warming_up, at most once a second and server, where its slices have changed. policy/tick.py, a module of one constant, is now part of policy/pacing.py, so that a start imports no more modules than before.

--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -47,6 +47,21 @@
         "limit; the share of the push channel's limit that waits, at its slowest pace; the age of "
         "the last success, at the median server",
     ),
+    "server_warming_up": (
+        (
+            "server",
+            "age_ms",
+            "slices",
+            "load",
+            "admissible_load",
+            "unanswered_checks",
+            "attempts",
+        ),
+        "the slices of a server that warms up have changed, at most once a second: its age; the "
+        "slices; their load and the load that slow start admits, in units of an average slice's "
+        "demand; health checks in a row without an answer; recent attempts that succeeded and "
+        "failed",
+    ),
     "push": (
         ("orders", "nonce"),
         "orders for the relay, with the nonce that asks for acknowledgements",
@@ -147,6 +162,7 @@
         "listening",
         "reloaded",
         "fleet_summary",
+        "server_warming_up",
         "push",
         "relay_available",
         "call_compared",
--- a/havendyke/net/fleet_summary.py
+++ b/havendyke/net/fleet_summary.py
@@ -7,6 +7,7 @@
 from ..policy import Controller
 from ..state import UNAVAILABLE, UNHEALTHY, WARMING_UP, HealthState, Server, Slice, upper_median
 from .event_loop import EventLoop
+from .warm_up_log import WarmUpLog
 
 # Fleet conditions, with the same names in the controller and in the log.
 CONDITIONS = (
@@ -59,6 +60,7 @@
         self._event_loop = event_loop
         self._controller = controller
         self._primaries: dict[Slice, Server | None] = {}
+        self._warm_up_log = WarmUpLog(event_loop, controller.planner.limits.admissible_load)
 
     def log_summary(self) -> None:
         """Logs a summary now and schedules the next one."""
@@ -86,6 +88,7 @@
             queue_share=round(state.queue_share, 3),
             success_age_ms=_median_success_age_ms(ready, self._event_loop.now()),
         )
+        self._warm_up_log.log_changes(servers)
         self._event_loop.after(self._event_loop.limits.summary_interval_ms, self.log_summary)
 
     def _migration_sources(self, primaries: dict[Slice, Server | None]) -> list[Server]:
--- a/havendyke/policy/controller.py
+++ b/havendyke/policy/controller.py
@@ -24,13 +24,13 @@
 from .list_requests import EndpointListRequester
 from .observation_decay import ObservationDecay
 from .outlier_detection import OutlierDetector
+from .pacing import TICK_INTERVAL_MS
 from .push_budget import PushCosts
 from .push_scheduler import PushScheduler
 from .retries import RetryPolicySelector
 from .server_capacity import CACHED_LIST_TRUST_MS, CapacityEstimator
 from .shared_tables import SharedTables
 from .table_planner import TablePlanner
-from .tick import TICK_INTERVAL_MS
 from .zone_loss import ZoneLossDetector
 
 # Ids of the controller's timers in `StartTimer` and `TimerFired`.
--- a/havendyke/policy/health_checks.py
+++ b/havendyke/policy/health_checks.py
@@ -2,8 +2,7 @@
 
 from ..interface import SendHealthCheck, Settings
 from ..state import LinearCongruentialGenerator, ObservedState, Server
-from .pacing import MigrationPace
-from .tick import TICK_INTERVAL_MS
+from .pacing import TICK_INTERVAL_MS, MigrationPace
 
 MIN_CHECK_INTERVAL_MS = 500.0
 # Checks of one server, summed over all controllers whose tables contain it.
--- a/havendyke/policy/pacing.py
+++ b/havendyke/policy/pacing.py
@@ -1,10 +1,14 @@
-"""Paces migrations: slices settle first, and controllers share the migrations of a server."""
+"""Intervals of reconciliations and pushes, and the pace of migrations.
+
+Slices settle before they migrate again, and controllers share the migrations of a server.
+"""
 
 from collections.abc import Iterable
 
 from ..interface import Settings
 from ..state import Proxy, Slice, serial_acknowledged_by
 
+TICK_INTERVAL_MS = 250.0  # between reconciliations while no events arrive
 PUSH_INTERVAL_MS = 1_000.0
 # A migration has settled once proxies with this share of the traffic have acknowledged it.
 SETTLED_TRAFFIC_SHARE = 0.75
--- a/havendyke/policy/tick.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""The interval between reconciliations while no events arrive."""
-
-TICK_INTERVAL_MS = 250.0
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -22,7 +22,7 @@
     MAX_EJECTION_TIME_MS,
     RECENT_SUCCESS_INTERVALS,
 )
-from havendyke.policy.pacing import PUSH_INTERVAL_MS
+from havendyke.policy.pacing import PUSH_INTERVAL_MS, TICK_INTERVAL_MS
 from havendyke.policy.push_budget import PushBudget
 from havendyke.policy.push_scheduler import PUSH_RACE_WINDOW_MS
 from havendyke.policy.rebalancer import MIN_OVERLOAD_INTERVALS, SERVER_MIGRATION_INTERVAL_MS
@@ -30,7 +30,6 @@
 from havendyke.policy.standby import STANDBY_WEIGHT
 from havendyke.policy.table_diff import change_priority
 from havendyke.policy.table_planner import MIN_HANDOVERS_TO_REBALANCE
-from havendyke.policy.tick import TICK_INTERVAL_MS
 from havendyke.policy.zone_loss import MIN_PEAK_PROXIES, MIN_REPORTED_SERVERS
 from havendyke.state import (
     HealthState,
--- a/tests/net/test_fleet_summary.py
+++ b/tests/net/test_fleet_summary.py
@@ -27,3 +27,22 @@
         and fields["migrated"] == {"warming_up": 1}
         and fields["unpublished"] == 1
     )
+
+
+def test_a_server_that_warms_up_is_logged_when_its_slices_change():
+    # An incident's log told neither which slices a cold server had nor what it was allowed.
+    scene, lines, event_loop = ControllerHarness(), [], SimulatedEventLoop()
+    event_loop.log = lambda event, **values: lines.append((event, values))
+    summary = FleetSummary(event_loop, scene.controller)
+    (healthy,) = scene.add_servers(1)
+    (warming_up,) = scene.add_servers(1, started_ms=scene.now_ms - 2000.0)
+    kept, migrating = scene.add_slices([healthy, warming_up])
+    scene.evaluate_health()
+    scene.estimate_demand(scene.assigned_slices)
+    for table in ({warming_up: 1.0}, {warming_up: 1.0}, {healthy: 1.0}):
+        scene.set_desired(migrating, table)
+        scene.estimate_demand(scene.assigned_slices)
+        summary.log_summary()
+    logged = [values for event, values in lines if event == "server_warming_up"]
+    assert [values["slices"] for values in logged] == [[migrating.id], []]
+    assert logged[0]["server"] == warming_up.id and logged[0]["load"] == 1.0
