Slow start hears health checks: unanswered, a server gets no slices and releases half

Cause: a server that warms up was judged by load reports alone, which come 2 to 5 s after the attempts. Its health checks time out about 1.5 s before it fails; only 3 (15 where it may be full) in a row counted, for ejection, and slow start did not look at them at all.

Change: while a server that warms up has left its last check unanswered, nothing is added to it, and it releases slices down to half of its load, once a push, to healthy servers only. Not where most servers leave checks unanswered: the fault is then the controller's own.

--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -7,18 +7,32 @@
 from .demand import demand_of
 from .load_limits import MAX_FAIR_SHARES, LoadLimits, rendezvous_score
 from .migration import SliceMigrator
+from .pacing import PUSH_INTERVAL_MS
+from .slow_start import SlowStart
 
 # A server that warms up keeps slices up to this multiple of its admissible load.
 WARMING_UP_TOLERANCE = 1.25
+# A server that warms up and leaves health checks unanswered keeps this share of its load at most,
+# and releases further slices after the next push.
+UNANSWERED_LOAD_SHARE = 0.5
+# Timers may fire this much early; without the slack, a release would miss a push.
+TIMER_SLACK_MS = 1.0
 
 
 class Failover:
     """Migrates slices off servers that are unavailable, unhealthy, or overloaded in warm-up."""
 
-    def __init__(self, settings: Settings, limits: LoadLimits, migrator: SliceMigrator) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        slow_start: SlowStart,
+        limits: LoadLimits,
+        migrator: SliceMigrator,
+    ) -> None:
         self._handover_ms = 0.0
         if settings.exclusive_ownership:
             self._handover_ms = settings.lease_ms + settings.max_write_in_flight_ms
+        self._slow_start = slow_start
         self._limits = limits
         self._migrator = migrator
 
@@ -28,6 +42,29 @@
         slices_to_move += self._excess_slices(servers)
         for slice_ in sorted(slices_to_move, key=lambda slice_: -demand_of(slice_)):
             self._fail_over(slice_, servers, now_ms)
+        for server in servers:
+            if self._should_release(server, now_ms):
+                self._release(server, servers, now_ms)
+
+    def _should_release(self, server: Server, now_ms: float) -> bool:
+        return (
+            bool(server.assigned_slices)
+            and not server.start_assumed
+            and self._slow_start.leaves_checks_unanswered(server)
+            and now_ms - server.last_slice_released_ms >= PUSH_INTERVAL_MS - TIMER_SLACK_MS
+        )
+
+    def _release(self, server: Server, servers: Iterable[Server], now_ms: float) -> None:
+        """Migrates slices to healthy servers, the largest demand first."""
+        # A server that warms up as well would be the next to be overloaded.
+        healthy = [s for s in servers if s.health == HEALTHY and not s.ejected]
+        limit = UNANSWERED_LOAD_SHARE * server.assigned_load
+        for slice_ in sorted(server.assigned_slices, key=lambda slice_: -demand_of(slice_)):
+            target = self._choose_target(slice_, healthy)
+            if target is None or server.assigned_load <= limit:
+                return
+            self._migrator.migrate(slice_, target, now_ms)
+            server.last_slice_released_ms = now_ms
 
     def _excess_slices(self, servers: Iterable[Server]) -> list[Slice]:
         """Returns slices beyond the load that servers which warm up can carry after a restart.
--- a/havendyke/policy/load_limits.py
+++ b/havendyke/policy/load_limits.py
@@ -49,10 +49,9 @@
 
     def fits(self, server: Server, demand: float, fair_shares: float) -> bool:
         """Whether the server may take on this demand."""
-        return (
-            server.health >= WARMING_UP
-            and server.assigned_load + demand <= self.admissible_load(server, fair_shares)
-        )
+        if server.health < WARMING_UP or self._slow_start.leaves_checks_unanswered(server):
+            return False
+        return server.assigned_load + demand <= self.admissible_load(server, fair_shares)
 
     def may_take_oversized(self, server: Server, demand: float) -> bool:
         """Whether an unused server may take one slice that exceeds any server's share.
--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -1,9 +1,9 @@
 """Slow start: limits the load of a server while it warms up."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from ..interface import LoadShedding, Settings
-from ..state import Server
+from ..state import WARMING_UP, Server
 from ..state.fleet_capacity import FleetCapacity
 from .fleet_condition import FleetCondition
 
@@ -28,15 +28,16 @@
         )
         self.fleet_capacity = FleetCapacity()
         self.load_per_capacity = 0.0
+        self._checks_reach_servers = True
 
     def update(
         self,
-        ready_servers: Iterable[Server],
+        ready_servers: Sequence[Server],
         total_demand: float,
         condition: FleetCondition,
         controller_age_ms: float,
     ) -> None:
-        """Updates the load limit for the fleet, demand and condition of this reconciliation."""
+        """Updates the load limits for the fleet, demand and condition of this reconciliation."""
         # The demand is divided by the fleet's peak capacity: while many servers are lost, a share
         # by the present capacity would overload a server that warms up.
         self.fleet_capacity.observe(ready_servers)
@@ -50,13 +51,26 @@
         if condition.overloaded and self._capacity_unknown:
             # The demand exceeds the fleet's capacity, so only its completed share is distributed.
             share *= condition.completed_share
-        self.load_per_capacity = (
-            share
-            * self._overload_factor
-            * total_demand
-            / max(self.fleet_capacity.peak, MIN_FLEET_CAPACITY)
-        )
+        self.load_per_capacity = self._load_per_capacity(share, total_demand)
+        unanswered = sum(server.unanswered_checks > 0 for server in ready_servers)
+        # If most checks stay unanswered, the fault is the controller's own, or the whole fleet's.
+        self._checks_reach_servers = 2 * unanswered <= len(ready_servers)
+
+    def _load_per_capacity(self, overload_share: float, total_demand: float) -> float:
+        peak_capacity = max(self.fleet_capacity.peak, MIN_FLEET_CAPACITY)
+        return overload_share * self._overload_factor * total_demand / peak_capacity
 
     def admissible_load(self, server: Server) -> float:
         """Returns the load that the server may carry now."""
         return self.load_per_capacity * server.guaranteed_capacity
+
+    def leaves_checks_unanswered(self, server: Server) -> bool:
+        """Whether the server warms up and did not answer its last health check in time.
+
+        It is then close to overload, seconds before load reports show that.
+        """
+        return (
+            server.health == WARMING_UP
+            and server.unanswered_checks > 0
+            and self._checks_reach_servers
+        )
--- a/havendyke/policy/table_planner.py
+++ b/havendyke/policy/table_planner.py
@@ -40,7 +40,7 @@
         self.connections = ConnectionMonitor(settings, fleet.condition)
         self.pace = MigrationPace(settings)
         self.migrator = SliceMigrator()
-        self.failover = Failover(settings, self.limits, self.migrator)
+        self.failover = Failover(settings, self.slow_start, self.limits, self.migrator)
         self.recovery = RecoveryRamp(self.limits, self.migrator, self.pace)
         self.rebalancer = Rebalancer(settings, seed, fleet, self.limits, self.migrator, self.pace)
 
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -94,7 +94,7 @@
         # Set once, when the server is added; `load_limits` adds it to this controller's share
         # before rounding down to whole slices.
         self.rounding_offset: float | None = None
-        # `migration` and `rebalancer`
+        # `migration`, `rebalancer` and `failover`
         self.last_slice_received_ms = NEVER_MS
         self.last_slice_released_ms = NEVER_MS
         self.overloaded_intervals = 0
