Slow start leaves room for a surge while few servers warm up

Cause: the bound is in fair shares of present capacity, 0.75 of the three that fell a server, whatever the fleet's use. Once a crowd brings the fleet to its capacity, 2.25 fair shares with keys not cached (1.5 to 2 times the work) and attempts repeated are 4 to 5 times what the server can do.

Change: slices are added up to the cautious bound (0.4) while at most an eighth of the fleet's capacity warms up, rising to 0.75 at three eighths, where the others could not carry the rest. What a server has it keeps as before (0.75 and a quarter), so that no slices move for this.

--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -1,6 +1,6 @@
 """Slow start: limits the load of a server while it warms up."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ..interface import LoadShedding, Settings
 from ..state import WARMING_UP, Server
@@ -11,6 +11,11 @@
 # overload and after the controller's start.
 OVERLOAD_SHARE = 0.75
 CAUTIOUS_OVERLOAD_SHARE = 0.4
+# While at most the first share of the fleet's capacity warms up, slices are added up to the
+# cautious limit, so that a surge of requests does not overload it; from the second share on, up to
+# the full limit, since the other servers could not carry the rest.
+FEW_WARMING_UP_SHARE = 0.125
+MANY_WARMING_UP_SHARE = 0.375
 # After its own start, the controller knows neither the demand nor the fleet's condition.
 CAUTIOUS_START_MS = 12_000.0
 # Upper bound of `Settings.warm_up_overload_factor`, a multiple of a server's usual load.
@@ -19,7 +24,11 @@
 
 
 class SlowStart:
-    """Owns `load_per_capacity`: the load per unit of guaranteed capacity while warming up."""
+    """Owns the load limits per unit of guaranteed capacity while warming up.
+
+    A server keeps slices up to `load_per_capacity`, and gets further ones up to
+    `additional_load_per_capacity`, which is at most as high.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self._overload_factor = min(settings.warm_up_overload_factor, MAX_OVERLOAD_FACTOR)
@@ -28,6 +37,7 @@
         )
         self.fleet_capacity = FleetCapacity()
         self.load_per_capacity = 0.0
+        self.additional_load_per_capacity = 0.0
         self._checks_reach_servers = True
 
     def update(
@@ -48,10 +58,13 @@
         share = max(CAUTIOUS_OVERLOAD_SHARE, OVERLOAD_SHARE * condition.admitted_share)
         if cautious:
             share = CAUTIOUS_OVERLOAD_SHARE
+        additional_share = min(share, additional_overload_share(ready_servers))
         if condition.overloaded and self._capacity_unknown:
             # The demand exceeds the fleet's capacity, so only its completed share is distributed.
             share *= condition.completed_share
+            additional_share *= condition.completed_share
         self.load_per_capacity = self._load_per_capacity(share, total_demand)
+        self.additional_load_per_capacity = self._load_per_capacity(additional_share, total_demand)
         unanswered = sum(server.unanswered_checks > 0 for server in ready_servers)
         # If most checks stay unanswered, the fault is the controller's own, or the whole fleet's.
         self._checks_reach_servers = 2 * unanswered <= len(ready_servers)
@@ -64,6 +77,10 @@
         """Returns the load that the server may carry now."""
         return self.load_per_capacity * server.guaranteed_capacity
 
+    def additional_load_limit(self, server: Server) -> float:
+        """Returns the load up to which the server may get further slices."""
+        return self.additional_load_per_capacity * server.guaranteed_capacity
+
     def leaves_checks_unanswered(self, server: Server) -> bool:
         """Whether the server warms up and did not answer its last health check in time.
 
@@ -74,3 +91,21 @@
             and server.unanswered_checks > 0
             and self._checks_reach_servers
         )
+
+
+def additional_overload_share(ready_servers: Iterable[Server]) -> float:
+    """Returns the share of the overload up to which slices are added while warming up."""
+    total = 0.0
+    warming_up = 0.0
+    for server in ready_servers:
+        total += server.size
+        # An assumed start says nothing about how many servers have started.
+        if server.health == WARMING_UP and not server.start_assumed:
+            warming_up += server.size
+    warming_up_share = warming_up / max(total, MIN_FLEET_CAPACITY)
+    progress = (warming_up_share - FEW_WARMING_UP_SHARE) / (
+        MANY_WARMING_UP_SHARE - FEW_WARMING_UP_SHARE
+    )
+    return CAUTIOUS_OVERLOAD_SHARE + max(0.0, min(1.0, progress)) * (
+        OVERLOAD_SHARE - CAUTIOUS_OVERLOAD_SHARE
+    )
