Slow start without further passes over the servers: a calm second within its bound again

Change: the share of the fleet that warms up comes from FleetCapacity, which sums it already; only servers that warm up are asked for unanswered checks. What is decided stays the same but for starts that are assumed, which now count as warming up (the bound is the cautious one for that time).

--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -39,10 +39,11 @@
     def run(self, slices: Sequence[Slice], servers: Sequence[Server], now_ms: float) -> None:
         """Chooses a new primary for each slice that needs one, the largest demand first."""
         slices_to_move = [slice_ for slice_ in slices if _has_no_usable_primary(slice_)]
-        slices_to_move += self._excess_slices(servers)
+        warming_up = [server for server in servers if server.health == WARMING_UP]
+        slices_to_move += self._excess_slices(warming_up)
         for slice_ in sorted(slices_to_move, key=lambda slice_: -demand_of(slice_)):
             self._fail_over(slice_, servers, now_ms)
-        for server in servers:
+        for server in warming_up:
             if self._should_release(server, now_ms):
                 self._release(server, servers, now_ms)
 
@@ -66,15 +67,15 @@
             self._migrator.migrate(slice_, target, now_ms)
             server.last_slice_released_ms = now_ms
 
-    def _excess_slices(self, servers: Iterable[Server]) -> list[Slice]:
+    def _excess_slices(self, warming_up: Iterable[Server]) -> list[Slice]:
         """Returns slices beyond the load that servers which warm up can carry after a restart.
 
         A server whose start is only assumed keeps its slices: according to a cached list a healthy
         fleet may seem to warm up, and would lose its tables.
         """
         excess = []
-        for server in servers:
-            if server.health != WARMING_UP or server.start_assumed:
+        for server in warming_up:
+            if server.start_assumed:
                 continue
             limit = WARMING_UP_TOLERANCE * self._limits.admissible_load(server)
             surplus = server.assigned_load - limit
--- a/havendyke/policy/load_limits.py
+++ b/havendyke/policy/load_limits.py
@@ -40,17 +40,29 @@
             load = self._slow_start.admissible_load(server)
         else:
             load = fair_shares * self.load_per_capacity * server.capacity
-        return _round_to_slices(load, server)
+        if server.rounding_offset is None:
+            return load
+        # One controller's share of a server is about one slice. Each controller rounds it to whole
+        # slices with an offset of its own; with a common one, all controllers together would
+        # overload the server or leave it empty.
+        return int(load + server.rounding_offset)
 
     def fits(self, server: Server, demand: float, fair_shares: float) -> bool:
         """Whether the server may take on this demand."""
-        if server.health < WARMING_UP or self._slow_start.leaves_checks_unanswered(server):
-            return False
         if server.health == WARMING_UP:
-            limit = _round_to_slices(self._slow_start.additional_load_limit(server), server)
-        else:
-            limit = self.admissible_load(server, fair_shares)
-        return server.assigned_load + demand <= limit
+            return self._fits_while_warming_up(server, demand)
+        return server.health > WARMING_UP and server.assigned_load + demand <= self.admissible_load(
+            server, fair_shares
+        )
+
+    def _fits_while_warming_up(self, server: Server, demand: float) -> bool:
+        limit = self._slow_start.additional_load_limit(server)
+        if server.rounding_offset is not None:
+            limit = int(limit + server.rounding_offset)
+        return (
+            server.assigned_load + demand <= limit
+            and not self._slow_start.leaves_checks_unanswered(server)
+        )
 
     def may_take_oversized(self, server: Server, demand: float) -> bool:
         """Whether an unused server may take one slice that exceeds any server's share.
@@ -64,15 +76,6 @@
         )
 
 
-def _round_to_slices(load: float, server: Server) -> float:
-    if server.rounding_offset is None:
-        return load
-    # One controller's share of a server is about one slice. Each controller rounds it to whole
-    # slices with an offset of its own; with a common one, all controllers together would
-    # overload the server or leave it empty.
-    return int(load + server.rounding_offset)
-
-
 def rendezvous_score(slice_: Slice, server: Server) -> float:
     """Returns the weighted rendezvous score; the server with the highest one is chosen."""
     return -max(server.capacity, MIN_CAPACITY) / log(rendezvous_hash(slice_, server))
--- a/havendyke/policy/slow_start.py
+++ b/havendyke/policy/slow_start.py
@@ -1,6 +1,6 @@
 """Slow start: limits the load of a server while it warms up."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from ..interface import LoadShedding, Settings
 from ..state import WARMING_UP, Server
@@ -58,16 +58,19 @@
         share = max(CAUTIOUS_OVERLOAD_SHARE, OVERLOAD_SHARE * condition.admitted_share)
         if cautious:
             share = CAUTIOUS_OVERLOAD_SHARE
-        additional_share = min(share, additional_overload_share(ready_servers))
+        additional_share = min(
+            share, additional_overload_share(self.fleet_capacity.warming_up_share)
+        )
         if condition.overloaded and self._capacity_unknown:
             # The demand exceeds the fleet's capacity, so only its completed share is distributed.
             share *= condition.completed_share
             additional_share *= condition.completed_share
         self.load_per_capacity = self._load_per_capacity(share, total_demand)
         self.additional_load_per_capacity = self._load_per_capacity(additional_share, total_demand)
-        unanswered = sum(server.unanswered_checks > 0 for server in ready_servers)
-        # If most checks stay unanswered, the fault is the controller's own, or the whole fleet's.
-        self._checks_reach_servers = 2 * unanswered <= len(ready_servers)
+        if self.fleet_capacity.warming_up_share:
+            # If most checks stay unanswered, the fault is the controller's own, or the fleet's.
+            unanswered = sum(server.unanswered_checks > 0 for server in ready_servers)
+            self._checks_reach_servers = 2 * unanswered <= len(ready_servers)
 
     def _load_per_capacity(self, overload_share: float, total_demand: float) -> float:
         peak_capacity = max(self.fleet_capacity.peak, MIN_FLEET_CAPACITY)
@@ -93,16 +96,11 @@
         )
 
 
-def additional_overload_share(ready_servers: Iterable[Server]) -> float:
-    """Returns the share of the overload up to which slices are added while warming up."""
-    total = 0.0
-    warming_up = 0.0
-    for server in ready_servers:
-        total += server.size
-        # An assumed start says nothing about how many servers have started.
-        if server.health == WARMING_UP and not server.start_assumed:
-            warming_up += server.size
-    warming_up_share = warming_up / max(total, MIN_FLEET_CAPACITY)
+def additional_overload_share(warming_up_share: float) -> float:
+    """Returns the share of the overload up to which slices are added while warming up.
+
+    `warming_up_share` is the share of the fleet's capacity that warms up.
+    """
     progress = (warming_up_share - FEW_WARMING_UP_SHARE) / (
         MANY_WARMING_UP_SHARE - FEW_WARMING_UP_SHARE
     )
--- a/havendyke/state/fleet_capacity.py
+++ b/havendyke/state/fleet_capacity.py
@@ -15,6 +15,7 @@
     def __init__(self) -> None:
         self.peak = 0.0
         self._ready = 0.0
+        self._warming_up = 0.0
         self._replacements = 0.0  # size of servers that run alongside those they will replace
 
     def observe(self, ready_servers: Iterable[Server]) -> None:
@@ -33,6 +34,12 @@
         self.peak = max(self.peak - replaced, ready)
         self._replacements = replacements - replaced
         self._ready = ready
+        self._warming_up = warming_up
+
+    @property
+    def warming_up_share(self) -> float:
+        """The share of the ready servers' sizes that warms up, 0 without ready servers."""
+        return self._warming_up / self._ready if self._ready else 0.0
 
     def decay(self, factor: float) -> None:
         """Lowers the peak, so that it approaches the capacity of a fleet that has shrunk."""
