Zone loss: zones that fail one after the other no longer mark the whole fleet

Cause: the bound of one half is asked of the servers marked now, not of those whose mark still counts. A mark lasts for the warm-up, so zones that fail within 16 s, each a third of the fleet, made all servers presumed to warm up. Slices beyond what a warming fleet may carry then get no server.

Change: servers of other zones that are still presumed lost count towards the half.

Measured: the new test fails without the change (all zones marked).

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -60,8 +60,14 @@
         if not overloaded:
             lost_zones |= self._zones_with_failing_reports(candidates, now_ms)
         lost = [server for server in candidates if server.zone in lost_zones]
+        # Zones that fail one after the other add up while their servers are presumed to warm up.
+        presumed_lost = [
+            server
+            for server in candidates
+            if server.zone not in lost_zones and now_ms - server.zone_lost_ms < self._warm_up_ms
+        ]
         # The loss of more than half is more likely a partition of this controller.
-        if 2 * len(lost) <= len(candidates):
+        if 2 * (len(lost) + len(presumed_lost)) <= len(candidates):
             for server in lost:
                 server.zone_lost_ms = now_ms
 
--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -65,6 +65,20 @@
     assert not harness.servers_warming_up()
 
 
+def test_zones_that_fail_one_after_the_other_are_not_all_lost():
+    # With all servers presumed to warm up, slices had no server for 10 s while all could serve.
+    harness = ControllerHarness()
+    servers = harness.add_servers(12)
+    for server in servers:
+        harness.report_server(server, 400)
+    for failing_zone in (0, 1, 2):
+        for server in servers:
+            harness.report_server(server, 3, 2 if server.zone == failing_zone else 0)
+        harness.evaluate_health()
+        harness.advance(2 * MAX_SUCCESS_AGE_REPORTS * 1000.0)
+    assert harness.servers_warming_up() == servers_in_zone(servers, 0)
+
+
 def test_a_lost_zone_keeps_the_load_that_it_can_carry_after_a_restart():
     harness = ControllerHarness()
     servers = harness.add_servers(12)
