Exclusive owners that warm up release nothing for one unanswered health check

What callers would have seen: with exclusive ownership and health checks, a single check without an answer in 500 ms made a server that warms up hand over half of its slices. A handover takes the lease and the longest write, in which the slices have no server; that outlasts the overload that it is meant to end.

Change: such a server still gets no slices while its check is unanswered, and keeps those it has. Timer slack stands once, in pacing.

Measured: the new test fails without the change (1.0 of 2.0 units left). The test of slices that go to no other server that warms up now asserts that some are released.

--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -7,7 +7,7 @@
 from .demand import demand_of
 from .load_limits import MAX_FAIR_SHARES, LoadLimits, rendezvous_score
 from .migration import SliceMigrator
-from .pacing import PUSH_INTERVAL_MS
+from .pacing import PUSH_INTERVAL_MS, TIMER_SLACK_MS
 from .slow_start import SlowStart
 
 # A server that warms up keeps slices up to this multiple of its admissible load.
@@ -15,8 +15,6 @@
 # A server that warms up and leaves health checks unanswered keeps this share of its load at most,
 # and releases further slices after the next push.
 UNANSWERED_LOAD_SHARE = 0.5
-# Timers may fire this much early; without the slack, a release would miss a push.
-TIMER_SLACK_MS = 1.0
 
 
 class Failover:
@@ -48,8 +46,10 @@
                 self._release(server, servers, now_ms)
 
     def _should_release(self, server: Server, now_ms: float) -> bool:
+        # A handover leaves a slice without a server for longer than an overload lasts.
         return (
-            bool(server.assigned_slices)
+            not self._handover_ms
+            and bool(server.assigned_slices)
             and not server.start_assumed
             and self._slow_start.leaves_checks_unanswered(server)
             and now_ms - server.last_slice_released_ms >= PUSH_INTERVAL_MS - TIMER_SLACK_MS
--- a/havendyke/policy/health_checks.py
+++ b/havendyke/policy/health_checks.py
@@ -2,15 +2,13 @@
 
 from ..interface import SendHealthCheck, Settings
 from ..state import LinearCongruentialGenerator, ObservedState, Server
-from .pacing import TICK_INTERVAL_MS, MigrationPace
+from .pacing import TICK_INTERVAL_MS, TIMER_SLACK_MS, MigrationPace
 
 MIN_CHECK_INTERVAL_MS = 500.0
 # Checks of one server, summed over all controllers whose tables contain it.
 CHECKS_PER_SERVER_PER_S = 5.0
 # While a check is pending, the next one waits for at least this many minimum intervals.
 PENDING_INTERVALS = 4
-# Timers may fire this much early; without the slack, a check would wait for another tick.
-TIMER_SLACK_MS = 1
 
 
 class HealthCheckScheduler:
--- a/havendyke/policy/pacing.py
+++ b/havendyke/policy/pacing.py
@@ -10,6 +10,8 @@
 
 TICK_INTERVAL_MS = 250.0  # between reconciliations while no events arrive
 PUSH_INTERVAL_MS = 1_000.0
+# Timers may fire this much early; without the slack, an action would wait for another interval.
+TIMER_SLACK_MS = 1.0
 # A migration has settled once proxies with this share of the traffic have acknowledged it.
 SETTLED_TRAFFIC_SHARE = 0.75
 
--- a/havendyke/policy/rebalancer.py
+++ b/havendyke/policy/rebalancer.py
@@ -10,7 +10,7 @@
 from .load_limits import MAX_FAIR_SHARES, LoadLimits
 from .migration import SliceMigrator
 from .outlier_detection import RECENT_SUCCESS_INTERVALS
-from .pacing import PUSH_INTERVAL_MS, MigrationPace
+from .pacing import PUSH_INTERVAL_MS, TIMER_SLACK_MS, MigrationPace
 
 # Shortest time between migrations with the same source or target, so that load reports show the
 # effect of the first one.
@@ -99,9 +99,11 @@
         if server.overloaded_intervals < MIN_OVERLOAD_INTERVALS or not self._fleet.is_slow(server):
             return False
         # A server that fails in an otherwise healthy fleet works on requests that clients have
-        # abandoned, so it may release a slice with each push. 1 ms less, as timers may fire early.
+        # abandoned, so it may release a slice with each push.
         congested_alone = server.failing and not self._fleet.condition.overloaded
-        interval_ms = PUSH_INTERVAL_MS - 1 if congested_alone else SERVER_MIGRATION_INTERVAL_MS
+        interval_ms = (
+            PUSH_INTERVAL_MS - TIMER_SLACK_MS if congested_alone else SERVER_MIGRATION_INTERVAL_MS
+        )
         # The limit applies to all controllers with slices on the server together.
         own_interval_ms = self._pace.controllers_per_server * interval_ms
         return now_ms - server.last_slice_released_ms > own_interval_ms
--- a/tests/policy/test_warm_up_overload.py
+++ b/tests/policy/test_warm_up_overload.py
@@ -20,9 +20,11 @@
 LOAD_WITH_ROOM_FOR_A_SURGE = 1.2
 
 
-def warming_up_fleet():
+def warming_up_fleet(**changes):
     """Twelve servers, one of which warms up and has two of 24 slices."""
-    harness = ControllerHarness(slice_count=24, health_checks=True, channel_queue_limit=61_560.0)
+    harness = ControllerHarness(
+        slice_count=24, health_checks=True, channel_queue_limit=61_560.0, **changes
+    )
     servers = harness.add_servers(12)
     add_slices_with_demand(harness, [servers[k % 12] for k in range(24)])
     harness.connect_proxies(20)
@@ -71,12 +73,30 @@
         harness.set_started(server, harness.now_ms - AGE_MS)
     reconcile(harness)
     kept = {slice_ for server in others[:4] for slice_ in harness.slices_of(server)}
+    before = harness.assigned_load(started)
     harness.report_health_check(started, TIMED_OUT)
     harness.advance(PUSH_INTERVAL_MS)
     reconcile(harness)
+    assert harness.assigned_load(started) < before
     assert {s for server in others[:4] for s in harness.slices_of(server)} <= kept
 
 
+def test_an_exclusive_owner_that_warms_up_keeps_its_slices_though_its_checks_time_out():
+    # A hand-over leaves a slice without a server for longer than the overload lasts.
+    harness, started, _ = warming_up_fleet(
+        exclusive_ownership=True,
+        lease_ms=1500.0,
+        max_write_in_flight_ms=2000.0,
+        max_empty_table_ms=9000.0,
+    )
+    reconcile(harness)
+    before = harness.assigned_load(started)
+    harness.report_health_check(started, TIMED_OUT)
+    harness.advance(PUSH_INTERVAL_MS)
+    reconcile(harness)
+    assert harness.assigned_load(started) == before > 0
+
+
 def test_a_controller_whose_checks_stay_unanswered_everywhere_releases_no_slices():
     # The fault is its own, and the healthy servers could not carry all of the load.
     harness, started, others = warming_up_fleet()
