--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -58,9 +58,8 @@
             "attempts",
         ),
         "the slices of a server that warms up have changed, at most once a second: its age; the "
-        "slices; their load and the load that slow start admits, in units of an average slice's "
-        "demand; health checks in a row without an answer; recent attempts that succeeded and "
-        "failed",
+        "slices; their load and the load that it may keep, in units of an average slice's demand; "
+        "health checks in a row without an answer; recent attempts that succeeded and failed",
     ),
     "push": (
         ("orders", "nonce"),
--- a/havendyke/net/fleet_summary.py
+++ b/havendyke/net/fleet_summary.py
@@ -35,6 +35,7 @@
     admission_limit: float
     queue_share: float  # queued entries, relative to the push channel's limit at its slowest pace
     load_share: Callable[[Server], float]  # a server's load, relative to its capacity
+    admissible_load: Callable[[Server], float]  # in units of demand
 
 
 def read_controller(controller: Controller) -> ControllerState:
@@ -49,6 +50,7 @@
         admission_limit=controller.admission.limit,
         queue_share=channel.queued_entries / max(2 * costs.soft_queue_limit, 1.0),
         load_share=controller.planner.limits.utilization,
+        admissible_load=controller.planner.limits.admissible_load,
     )
 
 
@@ -60,7 +62,7 @@
         self._event_loop = event_loop
         self._controller = controller
         self._primaries: dict[Slice, Server | None] = {}
-        self._warm_up_log = WarmUpLog(event_loop, controller.planner.limits.admissible_load)
+        self._warm_up_log = WarmUpLog(event_loop)
 
     def log_summary(self) -> None:
         """Logs a summary now and schedules the next one."""
@@ -88,7 +90,7 @@
             queue_share=round(state.queue_share, 3),
             success_age_ms=_median_success_age_ms(ready, self._event_loop.now()),
         )
-        self._warm_up_log.log_changes(servers)
+        self._warm_up_log.log_changes(servers, state.admissible_load)
         self._event_loop.after(self._event_loop.limits.summary_interval_ms, self.log_summary)
 
     def _migration_sources(self, primaries: dict[Slice, Server | None]) -> list[Server]:
--- a/tests/test_cold_server_on_loopback.py
+++ b/tests/test_cold_server_on_loopback.py
@@ -23,7 +23,7 @@
 from havendyke.config import deployment
 
 ROOT = Path(__file__).parents[1]
-COLD, *WARM = SERVERS
+COLD = SERVERS[0]
 SLICES = 24
 WARM_UP_S = 60.0
 AGE_AT_START_S = 45.0
