--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,11 +24,11 @@
 # Two batches of a rolling deploy, and the time between them.
 BATCHES = (("t-00", "t-01"), ("t-02", "t-03"))
 BATCH_INTERVAL_S = 3.0
-HOT_SLICES = (0, 1, 32, 33)  # of the first assigner, two of each server of the first batch
+HOT_SLICES = (0, 1, 33)  # of the first assigner, on servers of the first batch
 CUT_AFTER_BATCH_S = 0.3
 CUT_S = 6.0
 TAKEOVER_S = 1.0
-REDIAL_S = (0.14, 0.5)
+REDIAL_S = (0.14, 0.25)
 READ_STORE_S = (0.084, 0.41)
 
 
