--- a/review/3/case.py
+++ b/review/3/case.py
@@ -70,6 +70,9 @@
         await asyncio.sleep(STEP_INTERVAL_S)
     await asyncio.sleep(12.0)
     world.record("out at proxy 0:", *sorted(world.proxies[0].out))
+    for slice_id in sorted({slice_id for _, slice_id in world.reported}):
+        count = world.without_line[slice_id]
+        world.record(f"slice {slice_id}: {count} requests were let in and got no answer")
     if world.processes[-1].poll() is not None:
         raise NotRunError("the assigner has ended")
 
--- a/review/world.py
+++ b/review/world.py
@@ -138,6 +138,7 @@
         self.violations: list[str] = []
         self.sums: dict[tuple[str, str], list[float]] = {}  # zone, server: tries, bad, total ms
         self.slice_sums: dict[tuple[int, str], list[int]] = {}
+        self.without_line: dict[int, int] = {}  # by slice, requests let in that found no server
         self.tasks: list[asyncio.Task] = []
         self.processes: list[subprocess.Popen] = []
         self.relay_port, self.discovery_port, self.listen_port = (free_port() for _ in range(3))
@@ -399,6 +400,7 @@
             choice = None
         if choice is None:
             counts[1] += 1
+            self.without_line[slice_id] = self.without_line.get(slice_id, 0) + 1
             self.record(f"proxy {proxy.number}: refused, slice {slice_id}", kind)
             return
         name, epoch = choice
