--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,7 @@
     PROXIES,
     REQUESTS_PER_S,
     SERVERS,
+    SERVICE_MU,
     SETTINGS,
     SLICES,
     choose,
@@ -28,7 +29,7 @@
 CUT_AFTER_BATCH_S = 0.3
 CUT_S = 6.0
 TAKEOVER_S = 1.0
-REDIAL_S = (0.14, 0.25)
+REDIAL_S = (0.14, 0.7)
 READ_STORE_S = (0.084, 0.41)
 
 
@@ -36,6 +37,7 @@
     """The platform as one of two assigners meets it; servers, store and tables are shared."""
 
     other: "Site"
+    service_mu = SERVICE_MU
 
     def __init__(self, index: int, first: "Site | None" = None) -> None:
         super().__init__({**SETTINGS, "balancers": 2, "me": index}, servers(), proxies(), seed=54)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,7 @@
     DRAIN_S,
     PROXIES,
     REQUESTS_PER_S,
+    SERVICE_MU,
     SETTINGS,
     choose,
     proxies,
@@ -27,6 +28,7 @@
 def build_world() -> World:
     """Sixteen servers, twelve proxies and eighty slices of one assigner."""
     world = World(SETTINGS, servers(), proxies(), seed=54)
+    world.service_mu = SERVICE_MU
     world.store = tables(list(world.servers))
     return world
 
--- a/review/suva.py
+++ b/review/suva.py
@@ -14,6 +14,7 @@
 HOT_SHARE = 0.27  # of the traffic goes to a few slices in demand
 REQUESTS_PER_S = 180
 WRITE_SHARE = 0.35
+SERVICE_MU = -1.0  # service times with some waiting: 0.44 s in the mean
 DRAIN_S = 6.0  # from a drain's notice to the end of the process
 
 SETTINGS = {
--- a/review/world.py
+++ b/review/world.py
@@ -111,6 +111,7 @@
     """The platform, its store, its proxies and servers, and what they saw."""
 
     name = "n1"
+    service_mu = -1.32  # of the servers' lognormal service time in seconds: 0.32 in the mean
 
     def __init__(self, settings: dict, servers: list[Server], proxies: list[Proxy], seed: int):
         self.settings, self.family = settings, settings["familyInfo"]
@@ -430,7 +431,7 @@
         if write:
             self.check_write(server, proxy, slice_id, epoch)
             server.writes_in_hand[slice_id] = server.writes_in_hand.get(slice_id, 0) + 1
-        await asyncio.sleep(min(self.rng.lognormvariate(-1.32, 0.6), 2.9))
+        await asyncio.sleep(min(self.rng.lognormvariate(self.service_mu, 0.6), 2.9))
         if write:
             server.writes_in_hand[slice_id] -= 1
             self.record(f"{server.name}: write of slice {slice_id} answered")
