Relay watch: a slice still assigned after a gap counts as assigned anew

The assigner repeated a call from before the partition although another assigner had set other owners.

Cause: after the loss of all streams a slice in the present state counted as never having left; while a call about it had no known outcome its differing table was put off, and the comparison took a table that is neither the one before nor the one after the call for "not carried out" and queued its orders again. A queued order had the same fate where its connection was up before the watch.

Change: when a gap ends, slices still assigned are reported anew, which drops queued and unresolved orders; a repeated assignment starts the ownership's wait for leases again (the age of load reports is a field of its own); with exclusive ownership nothing is sent while the watch is lost.

--- a/havendyke/net/relay_client.py
+++ b/havendyke/net/relay_client.py
@@ -235,7 +235,7 @@
             return
         if self._connected_address != self.address:
             self._close_connection(CloseReason.MOVED)
-        if self.unresolved.orders or self._retry_timer.running:
+        if self.unresolved.orders or self._retry_timer.running or self._waits_for_watch():
             return
         if not self.queue:
             self._recover()
@@ -244,6 +244,14 @@
         elif self._parser is not None:
             self._send(self.connection)
 
+    def _waits_for_watch(self) -> bool:
+        """Whether queued orders may have been planned for tables of a former assignment.
+
+        With exclusive ownership, an order replaces the owner at once, also one that another
+        controller has set while the watch was lost.
+        """
+        return self._exclusive_ownership and self.watch.has_gap
+
     def _send(self, connection: Connection) -> None:
         orders = self.queue.take_batch(
             self._limits.max_call_bytes, self._max_orders_per_call, encoded_size
--- a/havendyke/net/relay_watch.py
+++ b/havendyke/net/relay_watch.py
@@ -63,6 +63,11 @@
         self._last_request_id += 1
         return self._last_request_id
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether changes may have been missed and the present state is not known yet."""
+        return self._has_gap
+
     def start(self) -> None:
         """Opens the missing streams.
 
@@ -199,21 +204,22 @@
     def _synchronise(self, stream: RelayStream, tables: Tables) -> None:
         """Applies a stream's present state, which is complete."""
         is_only_one = not self._synchronised_streams()
+        ends_gap = is_only_one and self._has_gap
         stream.state = StreamState.SYNCHRONISED
-        if is_only_one and self._has_gap:
-            # Proxies may have reconnected in the meantime, and acknowledgements were lost: nothing
-            # that was reported before is valid any more.
-            self.proxies.disconnect_all()
-            self.slices.unassign_missing(tables)
-            self._has_gap = False
+        if ends_gap:
+            self._report_departed(tables)
         if is_only_one:
             self._align_all_proxies(stream)
         else:
             for proxy_id in stream.proxies:
                 stream.report_proxy(proxy_id)
+        if ends_gap:
+            self.slices.report_assigned_again(tables, stream.requested_ms)
         self._apply_tables(stream, tables, stream.requested_ms)
         self._backoff.reset()
         self.start()
+        if ends_gap:
+            self._calls.send_next()
         # A pause within the present state may have been mistaken for its end; until the rest has
         # arrived, the old streams stay open.
         self.event_loop.after(self.event_loop.limits.address_overlap_ms, self._close_moved_streams)
@@ -224,6 +230,16 @@
             slices=len(tables),
         )
 
+    def _report_departed(self, tables: Tables) -> None:
+        """Ends a gap: reports what has left, or may have left and returned.
+
+        Acknowledgements were lost, proxies may have reconnected and slices may have been assigned
+        elsewhere: nothing that was reported before is valid any more.
+        """
+        self.proxies.disconnect_all()
+        self.slices.unassign_missing(tables)
+        self._has_gap = False
+
     def _apply_tables(
         self, stream: RelayStream, tables: Tables, requested_ms: float | None
     ) -> None:
--- a/havendyke/net/slice_assignments.py
+++ b/havendyke/net/slice_assignments.py
@@ -27,6 +27,9 @@
     def acknowledged(self, nonce: int, /) -> None:
         """A proxy acknowledged a push."""
 
+    def send_next(self) -> None:
+        """Sends orders that have waited for the watch."""
+
 
 class SliceAssignments:
     """Reports assignments and tables to the controller, and verifies tables that may be wrong."""
@@ -80,6 +83,22 @@
             if is_present(generation) and slice_id not in assigned:
                 self.unassign(slice_id, generation + 1)
 
+    def report_assigned_again(self, tables: Tables, requested_ms: float) -> None:
+        """Reports the slices that were assigned before changes may have been missed, and still are.
+
+        Another controller may have had them in the meantime: orders from before are dropped, also
+        where a table looks the same. `requested_ms`: when the tables were requested.
+        """
+        for slice_id, snapshot in tables.items():
+            if not is_present(self.generation(slice_id)):
+                continue
+            # Read before `assign`, which drops the orders of an unresolved call.
+            may_be_outdated = self._calls.changed_since(slice_id, requested_ms)
+            table = restore_precision(snapshot, self.tables.get(slice_id, {}))
+            self.assign(slice_id, self.generations[slice_id], table)
+            if may_be_outdated:
+                self.verify(slice_id)
+
     def update(
         self, slice_id: int, generation: int, snapshot: Table, requested_ms: float | None
     ) -> int:
--- a/havendyke/policy/demand.py
+++ b/havendyke/policy/demand.py
@@ -30,7 +30,7 @@
         # The part of the observation time without reports counts with the mean demand; otherwise
         # new slices would appear to have none.
         observed_shares = [
-            max(0.0, min(1.0, (now_ms - slice_.assigned_ms) / OBSERVATION_TIME_MS))
+            max(0.0, min(1.0, (now_ms - slice_.observed_since_ms) / OBSERVATION_TIME_MS))
             for slice_ in slices
         ]
         work = [self._reported_work(slice_) for slice_ in slices]
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -180,6 +180,9 @@
     def _assign_slice(self, event: SliceAssignment) -> None:
         slice_ = event.slice
         if not slice_.assigned:
+            slice_.observed_since_ms = self.now_ms
+        if event.assigned:
+            # Also where it was assigned: it may have had another controller in between.
             slice_.assigned_ms = self.now_ms
         slice_.assigned = event.assigned
         slice_.published = {}
--- a/havendyke/state/slice.py
+++ b/havendyke/state/slice.py
@@ -30,6 +30,7 @@
         self.zone: int | None = None
         self.assigned = False
         self.assigned_ms = NEVER_MS
+        self.observed_since_ms = NEVER_MS  # when its load reports began
         self.published: dict[Server, float] = {}
         self.desired: dict[Server, float] = {}
         self.requests = DecayingHistogram(request_class_count)  # one bin per class
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -580,7 +580,7 @@
         slice_.requests.add(0, requests)
 
     def set_assigned_at(self, slice_: Slice, time_ms: float) -> None:
-        slice_.assigned_ms = time_ms
+        slice_.assigned_ms = slice_.observed_since_ms = time_ms
 
     def set_last_migration(self, slice_: Slice, time_ms: float) -> None:
         slice_.migrated_ms = time_ms
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -72,12 +72,11 @@
     )
 
 
-def make_assigner(**limits):
+def make_assigner(settings=SETTINGS, **limits):
     """An assigner on its own event loop, before discovery and the relay have answered."""
     event_loop = FakeEventLoop(**{"relay_watch_count": 1} | limits)  # a test opens more itself
-    return Assigner(
-        config.read_config(raw_config(known=complete_list("s1", "s2", "s3")), {}), event_loop
-    ), event_loop
+    config_ = raw_config(known=complete_list("s1", "s2", "s3"), settings=settings)
+    return Assigner(config.read_config(config_, {}), event_loop), event_loop
 
 
 # Messages of the relay and of discovery, and their effects.
--- a/tests/policy/test_exclusive_ownership.py
+++ b/tests/policy/test_exclusive_ownership.py
@@ -146,6 +146,21 @@
     assert handover_ms(harness, following) == LEASE_MS + WRITE_IN_FLIGHT_MS
 
 
+def test_a_slice_assigned_again_waits_for_the_controller_that_had_it_in_between():
+    # Its proxies may write to the former primary until their leases end; nothing tells that the
+    # slice was away.
+    harness = exclusive_harness()
+    _, following = harness.add_servers(2)
+    harness.connect_proxies(2)
+    harness.set_last_disconnect(LONG_AGO_MS)
+    slice_ = harness.add_slice(0)
+    harness.assign(slice_)
+    harness.advance(10 * HANDOVER_MS)
+    harness.assign(slice_)
+    harness.set_desired(slice_, {following: 1.0})
+    assert handover_ms(harness, following) == HANDOVER_MS
+
+
 def test_an_acknowledgement_is_processed_without_iterating_over_all_slices():
     harness, _, proxies = cleared_slice(3)
     harness.forbid_iteration_over_slices()
