--- a/fuzz/faults.py
+++ b/fuzz/faults.py
@@ -152,23 +152,23 @@
     ),
     Fault(
         "unresolved_call_as_carried_out",
-        "net/unresolved_call.py",
-        "carried_out = bool(matches) and all(matches)",
+        "net/snapshots.py",
+        "carried_out = bool(shown) and all_match",
         "carried_out = True",
         "calls",
     ),
     Fault(
         "retried_without_snapshot",
         "net/unresolved_call.py",
-        "        if self._expected_changes():",
+        "        if self._changes():",
         "        if False:",
         "calls",
     ),
     Fault(
         "grant_not_confirmed",
         "net/slice_assignments.py",
-        "            if requested_ms is None:\n                # It is known",
-        "            if False:\n                # It is known",
+        "            if requested_ms is None or not snapshot:",
+        "            if False:",
         "moves",
     ),
     Fault(
--- a/havendyke/net/discovery.py
+++ b/havendyke/net/discovery.py
@@ -13,14 +13,13 @@
 
 from ..fields import FieldError
 from ..interface import EndpointListUpdate, ListScope
-from .backoff import Backoff
 from .connection import MAX_LOGGED_FIELD_CHARS
 from .event_loop import Address, EventLoop
 from .json_lines import parse_object
 from .list_pace import CompleteListPace
 from .list_queries import ListQuery, VersionCheck
 from .peer_codecs import PeerCodecs
-from .timer import Timer
+from .timer import Backoff, Timer
 from .wire_endpoint_list import ReceivedList
 
 # Consecutive failures of checks by version after which the complete list is requested.
--- a/havendyke/net/relay_client.py
+++ b/havendyke/net/relay_client.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from ..interface import Event
-from .backoff import Backoff
 from .connection import CloseReason, Connection
 from .deadlines import Deadline
 from .event_loop import Address, EventLoop
@@ -24,7 +23,8 @@
     keys_for_slice,
 )
 from .relay_watch import RelayWatch
-from .timer import Timer
+from .snapshots import Snapshot
+from .timer import Backoff, Timer
 from .unresolved_call import UnresolvedCall
 from .wire_relay import (
     CallRejected,
@@ -173,6 +173,12 @@
         else:
             self.queue.put_back(orders.values())
 
+    def table_superseded(self, slice_id: int, snapshot: Snapshot) -> None:
+        """A complete snapshot shows that a call's orders were planned for an earlier table."""
+        self.discard_orders(slice_id)
+        if slice_id in snapshot.tables and slice_id in self.watch.slices.tables:
+            self.watch.slices.correct(slice_id, snapshot.tables[slice_id])
+
     def retry_acknowledgement_request(self, order: AcknowledgementOrder) -> None:
         """No proxy has acknowledged a push in time."""
         self.queue.put(AcknowledgementOrder(order.nonce, all_proxies=True))
--- a/havendyke/net/relay_stream.py
+++ b/havendyke/net/relay_stream.py
@@ -1,7 +1,9 @@
 """One watch stream of the relay as a state machine: the present state first, then changes.
 
-The relay marks neither the end of the present state nor the end of a slice's table. They count as
-complete once no further message has arrived for `limits.relay_settle_ms`.
+The relay marks neither the end of the present state nor the end of a slice's table. On a watch they
+count as complete once no further message has arrived for `limits.relay_settle_ms`; entries that
+arrive later correct them. A snapshot, which is not corrected, is complete at the first ping: the
+relay sends the present state first.
 """
 
 from enum import Enum, auto
@@ -15,6 +17,7 @@
 from .proxy_sessions import ProxySessions
 from .published_tables import Table, Tables
 from .slice_assignments import SliceAssignments
+from .snapshots import Snapshot
 from .timer import Timer
 from .wire_relay import (
     Acknowledgement,
@@ -59,7 +62,10 @@
         """A proxy acknowledged a push."""
 
     def tables_received(self, stream: "RelayStream", tables: Tables) -> None:
-        """The tables received so far are complete."""
+        """No further entry of these tables has arrived for a while on a watch."""
+
+    def snapshot_received(self, stream: "RelayStream", snapshot: Snapshot) -> None:
+        """A snapshot is complete, or nothing further has arrived for a while."""
 
     def stream_closed(self, stream: "RelayStream", reason: str) -> None:
         """The stream's connection was closed."""
@@ -138,7 +144,7 @@
 
     def _expect_message(self) -> None:
         limits = self._event_loop.limits
-        # A snapshot stream has one deadline for the whole snapshot.
+        # A snapshot stream has one deadline until its entries have arrived.
         wait_ms = (
             limits.relay_watch_silence_timeout_ms if self.is_watch else limits.snapshot_timeout_ms
         )
@@ -154,6 +160,8 @@
             self._handle_acknowledgement(message)
         elif kind is not NotificationType.PING:
             self._handle_notification(kind, message)
+        elif not self.is_watch and self.state is not StreamState.REQUESTED:
+            self._report_snapshot(complete=True)
 
     def _handle_acknowledgement(self, message: dict[str, Any]) -> None:
         try:
@@ -268,5 +276,14 @@
             # the stream.
             self._restart_completion_timer()
             return
+        if not self.is_watch:
+            self._report_snapshot(complete=False)
+            return
         tables, self._partial_tables = self._partial_tables, {}
         self._owner.tables_received(self, tables)
+
+    def _report_snapshot(self, complete: bool) -> None:
+        # The ping may take longer than the entries.
+        self._silence_timer.start(self._event_loop.limits.relay_watch_silence_timeout_ms)
+        tables = {slice_id: dict(table) for slice_id, table in self._partial_tables.items()}
+        self._owner.snapshot_received(self, Snapshot(tables, complete))
--- a/havendyke/net/relay_watch.py
+++ b/havendyke/net/relay_watch.py
@@ -10,7 +10,6 @@
 
 from .. import interface as core
 from ..registry import ObjectRegistry
-from .backoff import Backoff
 from .connection import CloseReason
 from .event_loop import Address, EventLoop
 from .generations import aligned_from, is_present
@@ -18,9 +17,12 @@
 from .published_tables import Tables
 from .relay_stream import RelayStream, StreamPurpose, StreamState
 from .slice_assignments import CallTracker, SliceAssignments
+from .snapshots import Snapshot
+from .timer import Backoff
 from .wire_relay import Acknowledgement, RelayCodec
 
-SnapshotCallback = Callable[[Tables], None]
+# Returns False if the snapshot does not suffice because it is incomplete.
+SnapshotCallback = Callable[[Snapshot], bool]
 
 
 class SnapshotRequest(NamedTuple):
@@ -51,6 +53,7 @@
         self.slices = SliceAssignments(event_loop, registry, notify, calls, self.request_snapshot)
         self.streams: list[RelayStream] = []
         self._snapshot_requests: list[SnapshotRequest] = []
+        self._snapshot_streams: list[RelayStream] = []
         self._last_request_id = 0
         # Changes may have been missed, because all synchronised streams were lost.
         self._has_gap = False
@@ -98,7 +101,7 @@
         self.start()
 
     def request_snapshot(self, callback: SnapshotCallback) -> None:
-        """Calls `callback(tables)` once, with the tables as they are now or later."""
+        """Calls `callback` with snapshots of now or later, until one suffices."""
         self._snapshot_requests.append(SnapshotRequest(self.event_loop.now(), callback))
         self._open_snapshot_stream()
 
@@ -108,19 +111,26 @@
             self._calls.acknowledged(acknowledgement.nonce)
 
     def tables_received(self, stream: RelayStream, tables: Tables) -> None:
-        """A stream has received complete tables."""
-        if not stream.is_watch:
-            self._answer_snapshot_requests(stream, tables)
-            stream.close(CloseReason.DONE)
-        elif stream.is_synchronised:
+        """A watch has received tables, as far as known completely."""
+        if stream.is_synchronised:
             self._apply_tables(stream, tables, None)
         else:
             self._synchronise(stream, tables)
-            self._answer_snapshot_requests(stream, tables)
+            self._answer_snapshot_requests(stream, Snapshot(tables, complete=False))
+            if not self._snapshot_streams:
+                self._open_snapshot_stream()
+
+    def snapshot_received(self, stream: RelayStream, snapshot: Snapshot) -> None:
+        """A snapshot stream has received tables."""
+        self._answer_snapshot_requests(stream, snapshot)
+        if not any(r.since_ms <= stream.requested_ms for r in self._snapshot_requests):
+            stream.close(CloseReason.DONE)
 
     def stream_closed(self, stream: RelayStream, reason: str) -> None:
         """A stream was closed; another one replaces it."""
         if not stream.is_watch:
+            if stream in self._snapshot_streams:
+                self._snapshot_streams.remove(stream)
             if reason != CloseReason.DONE:
                 self.event_loop.after(self._backoff.next(), self._open_snapshot_stream)
             return
@@ -154,15 +164,19 @@
         # Without a synchronised stream, the next one to be synchronised answers the requests.
         if not self._snapshot_requests or not self._synchronised_streams():
             return
-        if RelayStream(self, StreamPurpose.SNAPSHOT).connection is None:
+        stream = RelayStream(self, StreamPurpose.SNAPSHOT)
+        if stream.connection is None:
             self.event_loop.after(self._backoff.next(), self._open_snapshot_stream)
+        else:
+            self._snapshot_streams.append(stream)
 
-    def _answer_snapshot_requests(self, stream: RelayStream, tables: Tables) -> None:
+    def _answer_snapshot_requests(self, stream: RelayStream, snapshot: Snapshot) -> None:
         """Answers the requests made before the stream requested the present state."""
         requests = self._snapshot_requests
         self._snapshot_requests = [r for r in requests if r.since_ms > stream.requested_ms]
         for request in [r for r in requests if r.since_ms <= stream.requested_ms]:
-            request.callback(tables)
+            if not request.callback(snapshot):
+                self._snapshot_requests.append(request)
 
     def _synchronised_stream_lost(self, stream: RelayStream, reason: str) -> None:
         if not self._is_covered_by_another(stream):
@@ -244,5 +258,4 @@
         self, stream: RelayStream, tables: Tables, requested_ms: float | None
     ) -> None:
         for slice_id, table in tables.items():
-            generation = stream.slices[slice_id]
-            stream.slices[slice_id] = self.slices.update(slice_id, generation, table, requested_ms)
+            self.slices.update(slice_id, stream.slices[slice_id], table, requested_ms)
--- a/havendyke/net/slice_assignments.py
+++ b/havendyke/net/slice_assignments.py
@@ -8,8 +8,9 @@
 from .event_loop import EventLoop
 from .generations import is_present
 from .published_tables import Table, Tables, restore_precision, tables_match
+from .snapshots import Snapshot
 
-RequestSnapshot = Callable[[Callable[[Tables], None]], None]
+RequestSnapshot = Callable[[Callable[[Snapshot], bool]], None]
 
 
 class CallTracker(Protocol):
@@ -94,40 +95,31 @@
                 continue
             # Read before `assign`, which drops the orders of an unresolved call.
             may_be_outdated = self._calls.changed_since(slice_id, requested_ms)
-            table = restore_precision(snapshot, self.tables.get(slice_id, {}))
+            table = restore_precision(snapshot, self._known(slice_id))
             self.assign(slice_id, self.generations[slice_id], table)
-            if may_be_outdated:
+            if may_be_outdated or not snapshot:
                 self.verify(slice_id)
 
     def update(
         self, slice_id: int, generation: int, snapshot: Table, requested_ms: float | None
-    ) -> int:
-        """Applies a table that a stream has received; returns the stream's generation for it.
+    ) -> None:
+        """Applies a table that a stream has received, with the stream's generation of the slice.
 
         `requested_ms`: when the stream requested the present tables, or None where the table was
         received as a change.
         """
-        reported = self.generation(slice_id)
-        table = restore_precision(snapshot, self.tables.get(slice_id, {}))
-        differs = not tables_match(table, self.tables.get(slice_id, {}))
-        if generation > reported:
-            self.assign(slice_id, generation, table)
-            if requested_ms is None:
-                # It is known when the change was received, but not when it was made: a call may
-                # have been carried out in between.
+        if generation > self.generation(slice_id):
+            self.assign(slice_id, generation, restore_precision(snapshot, self._known(slice_id)))
+            # Of a change it is known when it was received, but not when it was made: a call may
+            # have been carried out in between. And what seems empty may lack its entries.
+            if requested_ms is None or not snapshot:
                 self.verify(slice_id)
-            return generation
-        if requested_ms is None or not differs:
-            return generation
-        if self._calls.changed_since(slice_id, requested_ms):
+        elif requested_ms is not None and not tables_match(snapshot, self._known(slice_id)):
+            # A call may have been carried out since, or entries may still arrive.
             self.verify(slice_id)
-            return generation
-        self._event_loop.count("snapshot_differs")
-        self._event_loop.log(
-            "snapshot_differs", slice=slice_id, snapshot=table, known=self.tables.get(slice_id)
-        )
-        self.assign(slice_id, reported, table)
-        return reported
+
+    def _known(self, slice_id: int) -> Table:
+        return self.tables.get(slice_id, {})
 
     def verify(self, slice_id: int) -> None:
         """Compares a slice's table with snapshots, until none was overtaken by a call.
@@ -143,18 +135,26 @@
     def _verify_next(self) -> None:
         since_ms, slices = self._event_loop.now(), self._unverified
         self._unverified, self._verifying = {}, True
-        self._request_snapshot(lambda tables: self._compare(slices, since_ms, tables))
+        self._request_snapshot(lambda snapshot: self._compare(slices, since_ms, snapshot))
 
-    def _compare(self, slices: Iterable[int], since_ms: float, tables: Tables) -> None:
+    def _compare(self, slices: Iterable[int], since_ms: float, snapshot: Snapshot) -> bool:
+        if not snapshot.complete:
+            return False
         self._verifying = False
+        tables = snapshot.tables
         assigned = [s for s in slices if is_present(self.generation(s)) and s in tables]
         for slice_id in assigned:
             if self._calls.changed_since(slice_id, since_ms):
                 self._unverified[slice_id] = None
             elif self._calls.diverges(slice_id, tables[slice_id]):
-                self._event_loop.count("snapshot_differs")
-                known = self.tables.get(slice_id, {})
-                table = restore_precision(tables[slice_id], known)
-                self.assign(slice_id, self.generations[slice_id], table)
+                self.correct(slice_id, tables[slice_id])
         if self._unverified:
             self._verify_next()
+        return True
+
+    def correct(self, slice_id: int, snapshot: Table) -> None:
+        """Reports a table that differs from the one reported before."""
+        known = self._known(slice_id)
+        self._event_loop.count("snapshot_differs")
+        self._event_loop.log("snapshot_differs", slice=slice_id, snapshot=snapshot, known=known)
+        self.assign(slice_id, self.generations[slice_id], restore_precision(snapshot, known))
--- a/havendyke/net/unresolved_call.py
+++ b/havendyke/net/unresolved_call.py
@@ -11,10 +11,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .backoff import Backoff
 from .deadlines import Deadline
 from .event_loop import EventLoop
-from .published_tables import Table, Tables, apply_order, tables_match
+from .published_tables import Tables, apply_order, tables_match
 from .relay_orders import (
     ACKNOWLEDGEMENT_KEY,
     AcknowledgementOrder,
@@ -23,6 +22,8 @@
     keys_for_slice,
 )
 from .relay_watch import RelayWatch
+from .snapshots import CallOutcome, Snapshot, TableChange, call_outcome, superseded_slices
+from .timer import Backoff
 
 # The latest nonces, kept for pushes whose call is resolved after their acknowledgement.
 MAX_ACKNOWLEDGED_NONCES = 32
@@ -37,6 +38,9 @@
     def retry_acknowledgement_request(self, order: AcknowledgementOrder) -> None:
         """No proxy has acknowledged a push in time."""
 
+    def table_superseded(self, slice_id: int, snapshot: Snapshot) -> None:
+        """A complete snapshot shows that a call's orders were planned for an earlier table."""
+
     def send_next(self) -> None:
         """Sends the next queued orders."""
 
@@ -134,34 +138,46 @@
             self._resolve(carried_out=False)
 
     def _investigate(self, call: PendingCall) -> None:
-        if self._expected_changes():
-            self._watch.request_snapshot(lambda tables: self._determine_outcome(call, tables))
+        if self._changes():
+            self._watch.request_snapshot(lambda snapshot: self._compare(call, snapshot))
         else:
             # Without backoff, a call that is carried out each time would fill the push channel with
             # its messages.
             call.waits_for_retry = True
-            call.wait(self._retry_backoff.next(), lambda: self._determine_outcome(call, {}))
+            call.wait(self._retry_backoff.next(), lambda: self._retry(call))
 
-    def _expected_changes(self) -> dict[int, Table]:
-        """The tables that the call changes, as they would be after it."""
+    def _changes(self) -> dict[int, TableChange]:
+        """How the call changes tables, by slice."""
         known = self._watch.slices.tables
         slices = changed_slices(self.orders)
         expected: Tables = {s: dict(known[s]) for s in slices if s in known}
         for order in self.orders.values():
             apply_order(expected, order)
-        return {s: table for s, table in expected.items() if not tables_match(table, known[s])}
+        return {
+            s: TableChange(known[s], after)
+            for s, after in expected.items()
+            if not tables_match(after, known[s])
+        }
+
+    def _retry(self, call: PendingCall) -> None:
+        if not call.ended:
+            self._resolve(carried_out=False)
+            self._owner.send_next()
 
-    def _determine_outcome(self, call: PendingCall, tables: Tables) -> None:
+    def _compare(self, call: PendingCall, snapshot: Snapshot) -> bool:
+        """Compares tables with those of the call; returns False to wait for further entries."""
         if call.ended:
-            return
-        matches = [
-            tables_match(table, tables[slice_id])
-            for slice_id, table in self._expected_changes().items()
-            if slice_id in tables
-        ]
-        self._event_loop.log("call_compared", matching=sum(matches), tables=len(matches))
-        carried_out = bool(matches) and all(matches)
+            return True
+        changes = self._changes()
+        outcome = call_outcome(changes, self._watch.slices.tables, snapshot)
+        self._log_comparison(changes, snapshot)
+        if outcome is CallOutcome.UNKNOWN:
+            return False
         request = call.orders.get(ACKNOWLEDGEMENT_KEY)
+        carried_out = outcome is CallOutcome.CARRIED_OUT
+        if snapshot.complete and not carried_out:
+            for slice_id in superseded_slices(changes, snapshot):
+                self._owner.table_superseded(slice_id, snapshot)
         self._resolve(carried_out)
         if carried_out and isinstance(request, AcknowledgementOrder):
             # Tables that already had these entries would match as well: only an acknowledgement
@@ -169,6 +185,17 @@
             wait_ms = 2 * self._event_loop.limits.push_ack_wait_ms
             self._event_loop.after(wait_ms, lambda: self._expect_acknowledgement(request))
         self._owner.send_next()
+        return True
+
+    def _log_comparison(self, changes: dict[int, TableChange], snapshot: Snapshot) -> None:
+        shown = [
+            tables_match(after, snapshot.tables[slice_id])
+            for slice_id, (_, after) in changes.items()
+            if slice_id in snapshot.tables
+        ]
+        self._event_loop.log(
+            "call_compared", matching=sum(shown), tables=len(shown), complete=snapshot.complete
+        )
 
     def _expect_acknowledgement(self, request: AcknowledgementOrder) -> None:
         is_newest = self._newest_nonce == request.nonce
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -89,6 +89,7 @@
 PUSH_ACKNOWLEDGED = {"method": "ACK", "params": {"sidecar": 1, "version": 7, "lag_ms": 3.0}}
 SLICE_ASSIGNED = {"method": "GRANT", "params": {"partition": 4, "yes": True}}
 TABLE_ENTRY = {"method": "ROW", "params": {"partition": 4, "host": "s1", "share": 1.0}}
+PING = {"method": "ping"}
 SUCCESS_REPLY = {"id": 1, "result": True}
 
 
--- a/tests/net/test_backoff.py
+++ b/tests/net/test_backoff.py
@@ -1,7 +1,7 @@
 """Backoff delays that double up to a maximum."""
 
 from havendyke.config import Limits
-from havendyke.net.backoff import Backoff
+from havendyke.net.timer import Backoff
 
 
 def test_delays_double_up_to_the_maximum():
--- a/tests/net/test_crossing_relay.py
+++ b/tests/net/test_crossing_relay.py
@@ -29,6 +29,7 @@
     return notification("ACK", sidecar=proxy_id, version=nonce, lag_ms=5.0)
 
 
+PING = {"jsonrpc": "2.0", "method": "ping"}
 PRESENT_STATE = (
     proxy_connected(1),
     proxy_connected(2),
@@ -323,6 +324,7 @@
             for o in peer.call["params"]["orders"]
             if o["op"] == "SET"
         ),
+        PING,
     )
     deployment.wait_for_counter_at_least("closed_relay_watch_done", 1)
     assert (
--- a/tests/net/test_relay_client.py
+++ b/tests/net/test_relay_client.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers import (
+    PING,
     PROXY_CONNECTED,
     PUSH_ACKNOWLEDGED,
     SLICE_ASSIGNED,
@@ -211,6 +212,25 @@
     ]
 
 
+# Guards against two owners: a snapshot that paused before its entries showed tables as cleared that
+# were not; the call counted as carried out, and new owners were set beside the old (review case 2).
+@pytest.mark.parametrize("carried_out", [False, True])
+def test_a_pause_within_a_snapshot_does_not_show_a_table_as_cleared(carried_out):
+    assigner, event_loop = make_assigner()
+    open_watch_stream(suspend_reconciliation(assigner), event_loop, SLICE_ASSIGNED, TABLE_ENTRY)
+    start_call(event_loop, assigner, ClearOrder(4)).close("reset")
+    event_loop.run_for(110)
+    snapshot = snapshot_stream(event_loop)
+    feed(snapshot, [SUCCESS_REPLY, SLICE_ASSIGNED])
+    event_loop.run_for(150)
+    assert assigner.relay.unresolved.is_pending and not snapshot.ended
+    feed(snapshot, [PING] if carried_out else [TABLE_ENTRY])
+    event_loop.run_for(100)
+    assert snapshot.ended and not assigner.relay.unresolved.is_pending
+    calls = [c for c in event_loop.connections if c.peer.name == "relay" and not c.ended]
+    assert len(calls) == (0 if carried_out else 1)
+
+
 def test_an_acknowledgement_proves_that_its_call_was_carried_out():
     assigner, event_loop = make_assigner()
     open_watch_stream(suspend_reconciliation(assigner), event_loop, PROXY_CONNECTED)
--- a/tests/net/test_relay_gap.py
+++ b/tests/net/test_relay_gap.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers import (
+    PING,
     PROXY_CONNECTED,
     SETTINGS,
     SLICE_ASSIGNED,
@@ -11,6 +12,7 @@
     make_assigner,
     open_watch_stream,
     sent_orders,
+    snapshot_stream,
     suspend_reconciliation,
     table_entry,
     take_pending_events,
@@ -94,6 +96,7 @@
     stream = event_loop.open("relay_watch")
     feed(stream, [SUCCESS_REPLY, PROXY_CONNECTED, SLICE_ASSIGNED, TABLE_ENTRY])
     feed(call, [{"id": sent_orders(call)[1], "result": {"taken": 2}}])
-    count = len(event_loop.connections)
     event_loop.run_for(100)
-    assert len(event_loop.connections) == count + 1, "no snapshot was requested"
+    snapshot = snapshot_stream(event_loop)
+    feed(snapshot, [SUCCESS_REPLY, SLICE_ASSIGNED, table_entry("s2", 1.0), PING])
+    assert snapshot.ended and assigner.relay.watch.slices.tables[4] == {"s2": 1.0}
--- a/tests/net/test_relay_watch.py
+++ b/tests/net/test_relay_watch.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers import (
+    PING,
     PROXY_CONNECTED,
     PROXY_DISCONNECTED,
     PUSH_ACKNOWLEDGED,
@@ -11,6 +12,7 @@
     feed,
     make_assigner,
     open_watch_stream,
+    snapshot_stream,
     suspend_reconciliation,
     table_entry,
     take_pending_events,
@@ -137,6 +139,31 @@
     assert take_pending_events(assigner) == []
 
 
+# Guards against review case 2 on a related path: a table whose entry had not arrived on
+# a second stream, or in a snapshot, was reported as empty.
+def test_a_pause_within_the_state_on_a_second_stream_empties_no_table():
+    assigner, event_loop = make_assigner()
+    open_watch_stream(suspend_reconciliation(assigner), event_loop, SLICE_ASSIGNED, TABLE_ENTRY)
+    take_pending_events(assigner)
+    open_watch_stream(assigner, event_loop, SLICE_ASSIGNED)
+    snapshot = snapshot_stream(event_loop)
+    feed(snapshot, [SUCCESS_REPLY, SLICE_ASSIGNED])
+    event_loop.run_for(100)
+    assert take_pending_events(assigner) == [] and not snapshot.ended
+    feed(snapshot, [TABLE_ENTRY, PING])
+    assert snapshot.ended and assigner.relay.watch.slices.tables[4] == {"s1": 1.0}
+
+
+def test_a_table_that_differs_on_a_second_stream_is_reported_once_a_snapshot_shows_it():
+    assigner, event_loop = make_assigner()
+    open_watch_stream(suspend_reconciliation(assigner), event_loop, SLICE_ASSIGNED, TABLE_ENTRY)
+    take_pending_events(assigner)
+    open_watch_stream(assigner, event_loop, SLICE_ASSIGNED, table_entry("s2", 1.0))
+    snapshot = snapshot_stream(event_loop)
+    feed(snapshot, [SUCCESS_REPLY, SLICE_ASSIGNED, table_entry("s2", 1.0), PING])
+    assert [e.server.id for e in take_pending_events(assigner, core.SnapshotEntry)] == ["s2"]
+
+
 def test_a_late_table_entry_is_added_to_its_assignment():
     assigner, event_loop = make_assigner()
     open_watch_stream(suspend_reconciliation(assigner), event_loop, SLICE_ASSIGNED, TABLE_ENTRY)
--- a/tests/net/test_unresolved_call.py
+++ b/tests/net/test_unresolved_call.py
@@ -2,11 +2,13 @@
 
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from havendyke.lab.event_loop import SimulatedEventLoop
 from havendyke.net.relay_orders import WeightOrder
+from havendyke.net.snapshots import CallOutcome, Snapshot, TableChange, call_outcome
 from havendyke.net.unresolved_call import UnresolvedCall
 
 REPLY_DUE_MS = 10.0
@@ -91,12 +93,19 @@
     def wait(self, slice_id, _, __):
         self.event_loop.run_for((15, 400)[slice_id])
 
-    def answer(self, *_):
+    def answer(self, slice_id, complete, without_entries):
+        """Answers with the tables, or with those of them that have arrived."""
+        tables = {k: dict(table) for k, table in self.tables.items()}
+        if not complete:
+            tables[slice_id].clear()
+            if not without_entries:
+                del tables[slice_id]
         pending, self.snapshots[:] = self.snapshots[:], []
         if self.begun and pending:
             self.begun = (*self.begun[:2], True)
         for callback in pending:
-            callback({k: dict(table) for k, table in self.tables.items()})
+            if not callback(Snapshot(tables, complete)):
+                self.snapshots.append(callback)
 
     # The interface of `CallOwner`.
 
@@ -111,6 +120,9 @@
         if carried_out:
             self.known[order.slice_id] = {"s1": order.weight}
 
+    def table_superseded(self, slice_id, snapshot):
+        self.reassign(slice_id, None, None)
+
     def send_next(self):
         """No orders are queued."""
 
@@ -132,5 +144,35 @@
         step(relay, slice_id, changes, carried_out)
     for _ in range(3):
         relay.event_loop.run_for(5000)
-        relay.answer()
+        relay.answer(0, True, False)
     assert not relay.call.is_pending
+
+
+S1, S2, NONE = {"s1": 1.0}, {"s2": 1.0}, {}
+MOVED, CLEARED, SET = TableChange(S1, S2), TableChange(S1, NONE), TableChange(NONE, S2)
+YES, NO, UNKNOWN = CallOutcome.CARRIED_OUT, CallOutcome.NOT_CARRIED_OUT, CallOutcome.UNKNOWN
+
+
+# Guards against two owners: tables whose entries had not arrived yet counted as cleared, and new
+# owners were set while proxies used the former ones (review case 2).
+@pytest.mark.parametrize(
+    "changes, shown, complete, outcome",
+    [
+        pytest.param({4: CLEARED}, {4: NONE, 5: NONE}, False, UNKNOWN, id="no entry so far"),
+        pytest.param({4: CLEARED}, {4: NONE, 5: S1}, False, UNKNOWN, id="others so far"),
+        pytest.param({4: CLEARED}, {4: S1}, False, NO, id="the entry to be removed"),
+        pytest.param({4: CLEARED}, {4: NONE, 5: S1}, True, YES, id="no entry"),
+        pytest.param({4: CLEARED}, {}, False, UNKNOWN, id="no slice so far"),
+        pytest.param({4: SET}, {4: NONE, 5: NONE}, False, UNKNOWN, id="no new entry so far"),
+        pytest.param({4: SET}, {4: NONE, 5: S1}, False, NO, id="others, not the new entry"),
+        pytest.param({4: SET}, {4: S2}, False, YES, id="the new entry"),
+        pytest.param({4: MOVED}, {4: S2, 5: S1}, False, YES, id="the entry of another server"),
+        pytest.param({4: MOVED, 5: MOVED}, {4: S2}, False, UNKNOWN, id="one of two"),
+        pytest.param({4: MOVED, 5: CLEARED}, {4: S2, 5: NONE}, False, UNKNOWN, id="set and clear"),
+        pytest.param({4: MOVED, 5: CLEARED}, {4: S2, 5: NONE}, True, YES, id="both, complete"),
+        pytest.param({4: MOVED}, {4: {"s3": 1.0}, 5: S1}, True, NO, id="of somebody else"),
+    ],
+)
+def test_what_has_not_arrived_proves_nothing(changes, shown, complete, outcome):
+    known = {s: changes[s].before if s in changes else S1 for s in (4, 5)}
+    assert call_outcome(changes, known, Snapshot(shown, complete)) is outcome
