Ejections of an earlier process are ended for every server, also of those in no table

Cause: after a start only servers in the tables that were read back counted as perhaps ejected. One that had been ejected and was in no table then was given slices later and never let back; proxies keep ejections over a lost stream.

Change: once an earlier process shows (standbys in a table before the first change, or a proxy with an earlier stream), the ejection of every server counts as unconfirmed, and its end goes out with the server's first slice, ahead of the entry where the slice has no other server. By the last push that a proxy has applied its end is sent again to proxies that connect late.

--- a/havendyke/interface/events.py
+++ b/havendyke/interface/events.py
@@ -70,7 +70,7 @@
     proxy: Proxy
     zone: int
     request_rate: float  # expected requests per second
-    first_connection: bool  # not used by policy
+    first_connection: bool  # False: it may apply ejections of an earlier connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/havendyke/policy/ejection.py
+++ b/havendyke/policy/ejection.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from ..interface import SetEjection, Settings
-from ..state import UNAVAILABLE, UNHEALTHY, Server, Slice, slices_by_server
+from ..state import UNAVAILABLE, UNHEALTHY, Push, Server, Slice, slices_by_server
 from .push_budget import PushBudget
 from .table_diff import has_usable_endpoint
 
@@ -35,7 +35,7 @@
         self,
         servers: Sequence[Server],
         slices: Sequence[Slice],
-        now_ms: float,
+        push: Push,
         budget: PushBudget,
         entries_used: int,
         confirm: bool,
@@ -43,27 +43,47 @@
         """Returns orders that begin or end ejections, servers in the worst health first.
 
         With `confirm`, orders that some proxies may not have received are repeated as well. The
-        caller sets it once the most urgent orders have been added. Only orders for servers in
-        published tables are repeated: many proxies may have connected at once, which leaves few
-        entries for each.
+        caller sets it once the most urgent orders have been added. Only orders for servers in use
+        are repeated: many proxies may have connected at once, which leaves few entries for each.
         """
         if not self._enabled:
             return []
         orders: list[SetEjection] = []
         slices_of = slices_by_server(slices)
+        in_use: set[Server] | None = None  # determined once a server needs it
         for server in sorted(servers, key=lambda s: s.health):
             if not (server.ejected or server.ejection_unconfirmed or server.health <= UNHEALTHY):
                 continue
-            server_slices = slices_of.get(server, [])
-            ejected = self._should_be_ejected(server, server_slices, now_ms)
-            repeat = confirm and server.ejection_unconfirmed and bool(server_slices)
-            if ejected == server.ejected and not repeat:
-                continue
+            ejected = self._should_be_ejected(server, slices_of.get(server, []), push.sent_ms)
+            if ejected == server.ejected:
+                if not (confirm and server.ejection_unconfirmed):
+                    continue
+                in_use = _servers_in_use(slices) if in_use is None else in_use
+                if server not in in_use:
+                    continue
             limit = budget.urgent if server.health <= UNHEALTHY else budget.ordinary
             if len(orders) < limit - entries_used:
-                orders.append(_set_ejection(server, ejected))
+                orders.append(_set_ejection(server, ejected, push.serial))
         return orders
 
+    def confirm_unejected(
+        self, slices: Sequence[Slice], push: Push, budget: PushBudget, entries_used: int
+    ) -> list[SetEjection]:
+        """Returns orders that end ejections of the usable servers that these slices are to get.
+
+        Proxies that still apply an ejection from before would leave the slices without an endpoint.
+        """
+        if not self._enabled:
+            return []
+        servers = {
+            server: None
+            for slice_ in slices
+            for server in slice_.desired
+            if server.ejection_unconfirmed and not server.ejected and server.health > UNHEALTHY
+        }
+        limit = max(0, int(budget.urgent) - entries_used)
+        return [_set_ejection(server, False, push.serial) for server in list(servers)[:limit]]
+
     def _should_be_ejected(self, server: Server, slices: Sequence[Slice], now_ms: float) -> bool:
         if server.health <= UNHEALTHY:
             # Waits until each slice has another usable endpoint; otherwise its requests would find
@@ -88,8 +108,20 @@
         )
 
 
-def _set_ejection(server: Server, ejected: bool) -> SetEjection:
+def _servers_in_use(slices: Sequence[Slice]) -> set[Server]:
+    """The servers that assigned slices have, or are about to get."""
+    return {
+        server
+        for slice_ in slices
+        if slice_.assigned
+        for table in (slice_.published, slice_.desired)
+        for server in table
+    }
+
+
+def _set_ejection(server: Server, ejected: bool, push_serial: int) -> SetEjection:
     server.ejected = ejected
     server.ever_ejected = server.ever_ejected or ejected
     server.ejection_unconfirmed = False
+    server.ejection_serial = push_serial
     return SetEjection(server, ejected)
--- a/havendyke/policy/push_scheduler.py
+++ b/havendyke/policy/push_scheduler.py
@@ -149,8 +149,10 @@
         ]
         for slices, confirm in ((without_endpoint, False), (changed, True)):
             orders += self._ejection.orders(
-                observed.servers, observed.slices, push.sent_ms, budget, len(orders), confirm
+                observed.servers, observed.slices, push, budget, len(orders), confirm
             )
+            if without_endpoint and not confirm:
+                orders += self._ejection.confirm_unejected(slices, push, budget, len(orders))
             for slice_ in sorted(slices, key=change_priority):
                 self._add_change(orders, slice_, budget, push)
 
@@ -164,6 +166,7 @@
             return
         orders += change.orders
         slice_.published = change.published
+        push.changes_tables = True
         slice_.last_push_serial = push.serial
         # Recorded in addition to `last_push_serial`, which a migration resets.
         slice_.clearing_push = None if change.published else push
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -64,13 +64,17 @@
         self.offered_requests = 0.0
         # Whether an event requires a reconciliation before the next tick.
         self.reconciliation_due = True
-        self._proxies_reconnected = False
+        # Whether proxies may apply ejections of an earlier process, also of servers in no table.
+        self.ejections_inherited = False
+        # The lowest of the pushes that proxies connected since the last reconciliation had applied.
+        self._applied_by_connected: int | None = None
 
     # Objects; the registry calls these once per id
 
     def add_server(self, server_id: str) -> Server:
         """Adds a server with a new id."""
         server = Server(server_id)
+        server.ejection_unconfirmed = self.ejections_inherited
         if self.settings.slice_count:
             server.rounding_offset = rounding_offset(
                 server, self.settings.controller_index, self.settings.controller_count
@@ -118,14 +122,26 @@
         self.offered_requests = 0.0
 
     def mark_ejections_unconfirmed(self) -> None:
-        """If proxies have connected, marks all past and present ejections to be sent again.
+        """If proxies have connected, marks the ejections to be sent again.
 
-        Called once per reconciliation, since the whole fleet may reconnect during one.
+        These are all of this process, and those of an earlier one whose end the proxies may have
+        missed. Called once per reconciliation, since the whole fleet may reconnect during one.
         """
-        if self._proxies_reconnected:
-            for server in self.servers:
-                server.ejection_unconfirmed = server.ejection_unconfirmed or server.ever_ejected
-        self._proxies_reconnected = False
+        applied_serial, self._applied_by_connected = self._applied_by_connected, None
+        if applied_serial is None:
+            return
+        for server in self.servers:
+            missed = self.ejections_inherited and server.ejection_serial > applied_serial
+            if server.ever_ejected or missed:
+                server.ejection_unconfirmed = True
+
+    def _inherit_ejections(self) -> None:
+        """Marks the ejection of every server as unconfirmed, since any may be ejected."""
+        if self.ejections_inherited:
+            return
+        self.ejections_inherited = True
+        for server in self.servers:
+            server.ejection_unconfirmed = True
 
     def _update_endpoint_list(self, event: EndpointListUpdate) -> None:
         if event.scope != ListScope.CACHED:
@@ -164,7 +180,11 @@
         proxy.zone = event.zone
         proxy.acknowledged_serial = 0
         proxy.bound = False
-        self._proxies_reconnected = True
+        if not event.first_connection and not proxy.known:
+            self._inherit_ejections()
+        proxy.known = True
+        if self._applied_by_connected is None or proxy.applied_serial < self._applied_by_connected:
+            self._applied_by_connected = proxy.applied_serial
         if not self.settings.slice_count:
             self.reconciliation_due = True
 
@@ -199,11 +219,10 @@
         slice_.published[event.server] = event.weight
         slice_.desired[event.server] = event.weight
         slice_.clearing_push = None
-        # Standby entries in a table before the first push come from an earlier controller, which
+        # Standby entries before the first change of a table come from an earlier controller, which
         # may have left servers ejected.
-        if self.channel.last_serial == 0 and len(slice_.published) > 1:
-            for server in slice_.published:
-                server.ejection_unconfirmed = True
+        if not self.channel.tables_changed and len(slice_.published) > 1:
+            self._inherit_ejections()
         self.reconciliation_due = True
 
     def _count_server_load(self, event: ServerLoadReport) -> None:
--- a/havendyke/state/proxy.py
+++ b/havendyke/state/proxy.py
@@ -13,7 +13,9 @@
         self.connected = False
         self.request_rate = 1.0  # requests per second
         self.zone = 0
+        self.known = False  # has connected to this process
         self.acknowledged_serial = 0  # 0: no push acknowledged on this stream
+        self.applied_serial = 0  # the last push acknowledged on any stream
         self.bound = False  # to its shared tables, in a deployment without slices
 
 
--- a/havendyke/state/push.py
+++ b/havendyke/state/push.py
@@ -31,6 +31,7 @@
         # acknowledgement, or the end of a disconnected proxy's lease.
         self.settled_ms = settled_ms
         self.recipient_count = len(awaiting_proxies)
+        self.changes_tables = False
 
     def add_recipient(self, proxy: Proxy) -> None:
         """Adds a proxy that may also have received the push."""
@@ -64,6 +65,7 @@
     def __init__(self) -> None:
         self.pushes: list[Push] = []
         self.last_serial = 0
+        self.tables_changed = False  # by any push of this process
         self.connected = True
         self.queued_entries = 0.0  # for all proxies, assuming the channel's lowest rate
         self._queued_at_ms = 0.0
@@ -71,6 +73,7 @@
     def add(self, push: Push) -> None:
         """Records a push that is sent now."""
         self.last_serial = push.serial
+        self.tables_changed = self.tables_changed or push.changes_tables
         self.pushes.append(push)
         self.queued_entries += push.entries_per_proxy * push.recipient_count
 
@@ -80,6 +83,7 @@
             p.serial for p in self.pushes if p.nonce == nonce and proxy in p.awaiting_proxies
         ]
         proxy.acknowledged_serial = max([proxy.acknowledged_serial, *serials])
+        proxy.applied_serial = max(proxy.applied_serial, proxy.acknowledged_serial)
         for push in self.pushes:
             if push.serial <= proxy.acknowledged_serial:
                 push.settle(proxy, now_ms)
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -104,6 +104,7 @@
         # Some proxies may have the opposite of `ejected`; set after proxies reconnect, by snapshots
         # and by the registry.
         self.ejection_unconfirmed = False
+        self.ejection_serial = 0  # the last push that began or ended its ejection; 0: none
 
     def halve_histograms(self) -> None:
         """Halves the weight of past reports."""
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -344,8 +344,9 @@
     def ejection_orders(self, urgent: float = 50, ordinary: float = 50) -> list[core.Order]:
         """The orders that eject and uneject servers, within this budget of entries per proxy."""
         budget = PushBudget(ordinary, urgent)
+        push = Push(1, 0.0, set(), self.now_ms, self.now_ms)
         return self.controller.pushes._ejection.orders(
-            self.servers, self.slices, self.now_ms, budget, 0, True
+            self.servers, self.slices, push, budget, 0, True
         )
 
     def table_difference(self, slice_: Slice) -> tuple[list[core.Order], dict[Server, float]]:
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -1,10 +1,11 @@
 """Tests of when a single order ejects a server from all tables, and of when the ejection ends."""
 
 import pytest
-from controller_harness import STANDBY_WEIGHT, ControllerHarness
+from controller_harness import STANDBY_WEIGHT, ControllerHarness, default_settings
 
 from havendyke import interface as core
 from havendyke.policy.ejection import MAX_REPLACEMENT_WAIT_MS
+from havendyke.registry import ObjectRegistry
 
 
 def ejections(harness, slices):
@@ -117,3 +118,103 @@
     harness.advance(since_ms)
     harness.list_servers([leaving], state=state)
     assert (ejections(harness, slices) == [core.SetEjection(leaving, True)]) == ejected
+
+
+# Ejections of an earlier process of the controller
+
+
+def restarted_harness():
+    """A controller after a start, the server whose slices it has read back, and another one."""
+    harness = ControllerHarness()
+    primary, standby, other = harness.add_servers(3)
+    (slice_,) = harness.add_slices([primary])
+    harness.restore_entry(slice_, standby, STANDBY_WEIGHT)
+    return harness, slice_, other
+
+
+def give_to(harness, slice_, server):
+    harness.set_published(slice_, {server: 1.0})
+    harness.set_desired(slice_, {server: 1.0})
+
+
+# Guards against slices without an endpoint: servers that an earlier process had ejected, and that
+# were in no table at the restart, got slices later and were never unejected (review case 3).
+@pytest.mark.parametrize("returns", [False, True])
+def test_a_server_in_no_table_at_a_start_is_unejected_with_its_first_slice(returns):
+    harness, slice_, server = restarted_harness()
+    harness.connect_proxies(1)
+    ejections(harness, [slice_])
+    if returns:
+        server = harness.add_server("returned")
+        harness.list_servers([server])
+    harness.advance(1000.0)
+    harness.set_desired(slice_, {server: 1.0})
+    harness.evaluate_health()
+    harness.estimate_demand([slice_])
+    orders = harness.emit()
+    unejected = core.SetEjection(server, False)
+    weights = [o for o in orders if isinstance(o, core.SetEndpointWeight) and o.server is server]
+    assert unejected in orders and weights
+    harness.advance(1000.0)
+    assert unejected not in ejections(harness, [slice_])
+
+
+def test_a_proxy_that_connects_after_the_end_of_an_ejection_gets_it_again():
+    harness, slice_, server = restarted_harness()
+    proxies = harness.connect_proxies(2)
+    harness.mark_ejections_unconfirmed()
+    give_to(harness, slice_, server)
+    unejected = core.SetEjection(server, False)
+    assert unejected in ejections(harness, [slice_])
+    harness.acknowledge(*proxies)
+    for reconnecting, repeated in ((proxies[0], False), (harness.add_proxy(7), True)):
+        harness.advance(1000.0)
+        harness.connect(reconnecting)
+        harness.mark_ejections_unconfirmed()
+        assert (unejected in ejections(harness, [slice_])) == repeated
+
+
+def test_a_proxy_that_was_away_as_an_ejection_ended_gets_its_end_again():
+    harness, slice_, server = restarted_harness()
+    away, *others = harness.connect_proxies(2)
+    ejections(harness, [slice_])
+    harness.acknowledge(away, *others)
+    harness.disconnect(away)
+    harness.advance(1000.0)
+    give_to(harness, slice_, server)
+    unejected = core.SetEjection(server, False)
+    assert unejected in ejections(harness, [slice_])
+    harness.advance(1000.0)
+    harness.connect(away)
+    harness.mark_ejections_unconfirmed()
+    assert unejected in ejections(harness, [slice_])
+
+
+def test_slices_assigned_after_the_first_push_may_hide_ejections_of_an_earlier_process_too():
+    # A restarted controller sends its retry policies before it gets its slices back.
+    harness = ControllerHarness()
+    primary, standby = harness.add_servers(2)
+    harness.connect_proxies(1)
+    assert harness.emit()
+    (slice_,) = harness.add_slices([primary])
+    harness.restore_entry(slice_, standby, STANDBY_WEIGHT)
+    harness.advance(1000.0)
+    assert {o.server for o in ejections(harness, [slice_])} == {primary, standby}
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_a_proxy_with_an_earlier_stream_may_apply_ejections_of_an_earlier_process(first):
+    harness = ControllerHarness()
+    (server,) = harness.add_servers(1)
+    (slice_,) = harness.add_slices([server])
+    harness.connect(harness.add_proxy(0), first=first)
+    assert ejections(harness, [slice_]) == ([] if first else [core.SetEjection(server, False)])
+
+
+def test_a_departed_server_whose_ejection_has_ended_is_unejected_when_it_returns():
+    # A proxy that was away may have missed the end of the ejection.
+    registry = ObjectRegistry(default_settings(), seed=1)
+    server = registry.server("s1")
+    server.ever_ejected = True
+    assert registry.remove_unreferenced_servers(10) == [server]
+    assert registry.server("s1").ejection_unconfirmed
