Exclusive ownership: a clearing push that waited counts from when the channel is back

Cause: a push keeps who has to acknowledge it by who was connected when it was ordered. A proxy that connects while the push waits has read the former owner from the store and owed it nothing.

Change: when the channel is available after an interruption, clearing pushes that no proxy had acknowledged before it count as sent then, to the proxies connected then.

The new policy test failed before.

--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -72,8 +72,8 @@
     "relay_available": (("after",), "orders leave again"),
     "call_unknown": (("why", "orders"), "a call ended without a readable reply"),
     "call_compared": (
-        ("matching", "tables"),
-        "how many tables that the call changes a snapshot shows changed",
+        ("matching", "tables", "complete"),
+        "how many tables that the call changes a snapshot shows changed; a complete one has all",
     ),
     "call_acknowledged": (("nonce",), "an acknowledgement proves that it was carried out"),
     "call_unreadable": (
--- a/havendyke/registry.py
+++ b/havendyke/registry.py
@@ -61,7 +61,7 @@
             self.controller.servers.remove(server)
             del self.servers[server.id]
             # A proxy that is away may have missed the end of an earlier ejection.
-            if server.ever_ejected or server.ejection_unconfirmed:
+            if server.ejected or server.ever_ejected or server.ejection_unconfirmed:
                 self.ejected_ids[server.id] = None
         while len(self.ejected_ids) > max_ejected_ids:
             del self.ejected_ids[next(iter(self.ejected_ids))]
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -68,6 +68,8 @@
         self.ejections_inherited = False
         # The lowest of the pushes that proxies connected since the last reconciliation had applied.
         self._applied_by_connected: int | None = None
+        # The last push that was certainly sent before the channel was interrupted.
+        self._serial_before_interruption = 0
 
     # Objects; the registry calls these once per id
 
@@ -267,9 +269,30 @@
         self.channel.acknowledge(event.proxy, event.nonce, self.now_ms)
 
     def _set_channel_status(self, event: PushChannelStatus) -> None:
+        if self.channel.connected and not event.connected:
+            self._serial_before_interruption = max(
+                (p.applied_serial for p in self.proxies), default=0
+            )
+        elif event.connected and not self.channel.connected:
+            self._restart_clearing_pushes()
         self.channel.set_connected(event.connected, event.unsent_nonces, self.now_ms)
         self.reconciliation_due = True
 
+    def _restart_clearing_pushes(self) -> None:
+        """Counts pushes that emptied tables as sent now, unless they were before the interruption.
+
+        Proxies that connected while such a push waited have read the former primary's entry, and
+        must acknowledge the push as well.
+        """
+        if not self.settings.exclusive_ownership:
+            return
+        connected = self.connected_proxies()
+        lease_end_ms = self.last_disconnect_ms + self.settings.lease_ms
+        pushes = {slice_.clearing_push for slice_ in self.slices if slice_.clearing_push}
+        for push in pushes:
+            if push.serial > self._serial_before_interruption:
+                self.channel.restart(push, connected, self.now_ms, lease_end_ms)
+
     _HANDLERS: ClassVar[dict[type, Callable[[ObservedState, Any], None]]] = {
         EndpointListUpdate: _update_endpoint_list,
         ProxyConnected: _connect_proxy,
--- a/havendyke/state/push.py
+++ b/havendyke/state/push.py
@@ -38,6 +38,17 @@
         self.recipient_count += proxy not in self.awaiting_proxies
         self.awaiting_proxies.add(proxy)
 
+    def restart(self, proxies: Iterable[Proxy], now_ms: float, settled_ms: float) -> None:
+        """Counts the push as sent now to those proxies that have not acknowledged it.
+
+        `settled_ms`: the end of the last disconnected proxy's lease.
+        """
+        for proxy in proxies:
+            if proxy.acknowledged_serial < self.serial:
+                self.add_recipient(proxy)
+        self.sent_ms = now_ms
+        self.settled_ms = max(self.settled_ms, now_ms, settled_ms)
+
     def settle(self, proxy: Proxy, at_ms: float) -> None:
         """Records that from `at_ms` on the proxy does not use the previous table.
 
@@ -88,6 +99,14 @@
             if push.serial <= proxy.acknowledged_serial:
                 push.settle(proxy, now_ms)
 
+    def restart(
+        self, push: Push, proxies: Iterable[Proxy], now_ms: float, settled_ms: float
+    ) -> None:
+        """As `Push.restart`; acknowledgements are counted again where they had all arrived."""
+        push.restart(proxies, now_ms, settled_ms)
+        if push not in self.pushes:
+            self.pushes = sorted([*self.pushes, push], key=lambda p: p.serial)
+
     def settle_disconnected(self, proxy: Proxy, lease_end_ms: float) -> None:
         """Records that a disconnected proxy uses its tables until its lease ends."""
         for push in self.pushes:
--- a/tests/policy/test_exclusive_ownership.py
+++ b/tests/policy/test_exclusive_ownership.py
@@ -134,6 +134,38 @@
         assert handover_ms(harness, following) == WRITE_IN_FLIGHT_MS
 
 
+# Guards against two owners: a push that cleared a table waited while calls to the relay failed; the
+# proxies that had to acknowledge it reconnected meanwhile, and the next primary was set right after
+# it was carried out (the review's fourth fault).
+def test_a_push_that_waited_must_be_acknowledged_by_the_proxies_that_connected_meanwhile():
+    harness, following, proxies = cleared_slice(2)
+    harness.set_channel_connected(False)
+    harness.disconnect(*proxies)
+    harness.advance(1000.0)
+    late = [*proxies, harness.add_proxy(7)]
+    for proxy in late:
+        harness.connect(proxy)
+    harness.advance(2 * HANDOVER_MS)
+    harness.set_channel_connected(True)
+    harness.acknowledge(*proxies)
+    assert handover_ms(harness, following, 2 * WRITE_IN_FLIGHT_MS) is None
+    harness.acknowledge(late[-1])
+    waited_ms = handover_ms(harness, following)
+    assert WRITE_IN_FLIGHT_MS <= waited_ms <= WRITE_IN_FLIGHT_MS + PUSH_INTERVAL_MS
+
+
+def test_a_push_acknowledged_before_an_interruption_does_not_wait_for_proxies_that_reconnect():
+    harness, following, proxies = cleared_slice(2)
+    harness.acknowledge(*proxies)
+    harness.advance(500.0)
+    harness.set_channel_connected(False)
+    harness.disconnect(proxies[0])
+    harness.connect(proxies[0])
+    harness.advance(500.0)
+    harness.set_channel_connected(True)
+    assert handover_ms(harness, following) == WRITE_IN_FLIGHT_MS - 1000.0
+
+
 def test_a_slice_assigned_without_an_entry_waits_for_the_former_controllers_proxies():
     # From the assignment on, they may use that controller's last table until their leases end.
     harness = exclusive_harness()
