--- a/havendyke/policy/controller.py
+++ b/havendyke/policy/controller.py
@@ -149,7 +149,7 @@
     }
 
     def _update(self) -> list[Order]:
-        self.observed.mark_ejections_unconfirmed()
+        self.observed.ejections.mark_missed()
         self.assess_health()
         self.adjust_admission()
         self.plan_tables()
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -26,7 +26,7 @@
     SnapshotEntry,
 )
 from .histogram import DecayingHistogram, latency_position, request_position
-from .proxy import ConnectedProxyCount, Proxy
+from .proxy import ConnectedProxyCount, EjectionConfirmations, Proxy
 from .push import Push, PushChannel
 from .rendezvous import rounding_offset
 from .server import LONG_AGO_MS, NEVER_MS, Server, ZoneFailureReport
@@ -64,10 +64,7 @@
         self.offered_requests = 0.0
         # Whether an event requires a reconciliation before the next tick.
         self.reconciliation_due = True
-        # Whether proxies may apply ejections of an earlier process, also of servers in no table.
-        self.ejections_inherited = False
-        # The lowest of the pushes that proxies connected since the last reconciliation had applied.
-        self._applied_by_connected: int | None = None
+        self.ejections = EjectionConfirmations(self.servers)
         # The last push that was certainly sent before the channel was interrupted.
         self._serial_before_interruption = 0
 
@@ -76,7 +73,7 @@
     def add_server(self, server_id: str) -> Server:
         """Adds a server with a new id."""
         server = Server(server_id)
-        server.ejection_unconfirmed = self.ejections_inherited
+        server.ejection_unconfirmed = self.ejections.inherited
         if self.settings.slice_count:
             server.rounding_offset = rounding_offset(
                 server, self.settings.controller_index, self.settings.controller_count
@@ -123,28 +120,6 @@
         self.attempt_outcomes = DecayingHistogram(2)
         self.offered_requests = 0.0
 
-    def mark_ejections_unconfirmed(self) -> None:
-        """If proxies have connected, marks the ejections to be sent again.
-
-        These are all of this process, and those of an earlier one whose end the proxies may have
-        missed. Called once per reconciliation, since the whole fleet may reconnect during one.
-        """
-        applied_serial, self._applied_by_connected = self._applied_by_connected, None
-        if applied_serial is None:
-            return
-        for server in self.servers:
-            missed = self.ejections_inherited and server.ejection_serial > applied_serial
-            if server.ever_ejected or missed:
-                server.ejection_unconfirmed = True
-
-    def _inherit_ejections(self) -> None:
-        """Marks the ejection of every server as unconfirmed, since any may be ejected."""
-        if self.ejections_inherited:
-            return
-        self.ejections_inherited = True
-        for server in self.servers:
-            server.ejection_unconfirmed = True
-
     def _update_endpoint_list(self, event: EndpointListUpdate) -> None:
         if event.scope != ListScope.CACHED:
             self.endpoint_list_received = True
@@ -182,11 +157,7 @@
         proxy.zone = event.zone
         proxy.acknowledged_serial = 0
         proxy.bound = False
-        if not event.first_connection and not proxy.known:
-            self._inherit_ejections()
-        proxy.known = True
-        if self._applied_by_connected is None or proxy.applied_serial < self._applied_by_connected:
-            self._applied_by_connected = proxy.applied_serial
+        self.ejections.proxy_connected(proxy, event.first_connection)
         if not self.settings.slice_count:
             self.reconciliation_due = True
 
@@ -224,7 +195,7 @@
         # Standby entries before the first change of a table come from an earlier controller, which
         # may have left servers ejected.
         if not self.channel.tables_changed and len(slice_.published) > 1:
-            self._inherit_ejections()
+            self.ejections.inherit()
         self.reconciliation_due = True
 
     def _count_server_load(self, event: ServerLoadReport) -> None:
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -284,7 +284,7 @@
 
     def mark_ejections_unconfirmed(self) -> None:
         """Marks ejections as unconfirmed if proxies have reconnected."""
-        self.controller.observed.mark_ejections_unconfirmed()
+        self.controller.observed.ejections.mark_missed()
 
     def evaluate_health(self) -> None:
         """Evaluates fleet condition, zone loss, outlier detection and each server's health."""
