Exclusive ownership: orders that wait for a slow connection are reported

Change: table orders that waited over 50 ms for a connection are reported as an interrupted channel, after which the push counts as sent to the proxies connected then.

--- a/havendyke/net/push_channel.py
+++ b/havendyke/net/push_channel.py
@@ -15,7 +15,7 @@
     """Whether orders are sent to the relay, and why not."""
 
     AVAILABLE = auto()
-    CALL_UNRESOLVED = auto()  # it is unknown whether a call was carried out
+    CALL_UNRESOLVED = auto()  # it is unknown whether, or when, a call was carried out
     UNREACHABLE = auto()  # the relay cannot be reached or rejects calls
     STARTING = auto()  # no proxy has connected since the start
 
@@ -60,7 +60,7 @@
         self._interrupt(ChannelState.UNREACHABLE, reason, waiting_orders)
 
     def call_unresolved(self, reason: str, waiting_orders: int) -> None:
-        """It is unknown whether a call that changes tables was carried out."""
+        """It is unknown whether, or when, a call that changes tables was carried out."""
         reachable = self.state in (ChannelState.AVAILABLE, ChannelState.CALL_UNRESOLVED)
         state = ChannelState.CALL_UNRESOLVED if reachable else ChannelState.UNREACHABLE
         self._interrupt(state, reason, waiting_orders)
--- a/havendyke/net/relay_client.py
+++ b/havendyke/net/relay_client.py
@@ -37,6 +37,10 @@
 )
 
 LONG_AGO_MS = -1e9  # before any time of the monotonic clock
+# Orders that wait longer for a connection count as delayed: a proxy that connects meanwhile reads
+# tables from before them.
+MAX_PROMPT_CONNECT_MS = 50.0
+SLOW_CONNECT_REASON = "slow_connect"
 MAX_REASON_CHARS = 60
 MAX_LOGGED_ERROR_CHARS = 100
 
@@ -84,6 +88,7 @@
         self.call: CallInProgress | None = None
         self.connection: Connection | None = None
         self._connected_address: Address | None = None
+        self._connect_requested_ms = LONG_AGO_MS
         self._parser: LineParser | None = None  # None until the connection is established
         self._max_orders_per_call: int | None = None  # None: no limit; bisects for a bad order
         self._table_changed_ms: dict[int, float] = {}  # by slice, end of the last call about it
@@ -188,6 +193,7 @@
     def opened(self, connection: Connection) -> None:
         """The connection is established."""
         self._parser = LineParser(connection.buffer, self._limits.max_message_bytes)
+        self._report_slow_connect()
         self.send_next()
         if not self.call:
             self._close_when_idle()
@@ -216,10 +222,17 @@
 
     def _connect(self) -> None:
         self._connected_address = self.address
+        self._connect_requested_ms = self._event_loop.now()
         self.connection = self._event_loop.connect(self.address, self)
         if self.connection is None:
             self._pause("no_slot")
 
+    def _report_slow_connect(self) -> None:
+        """With exclusive ownership, reports orders that were delayed as an interrupted channel."""
+        waited_ms = self._event_loop.now() - self._connect_requested_ms
+        if self._exclusive_ownership and self.queue.slices and waited_ms > MAX_PROMPT_CONNECT_MS:
+            self.channel.call_unresolved(SLOW_CONNECT_REASON, len(self.queue))
+
     def _close_connection(self, reason: CloseReason) -> None:
         if self.connection is not None:
             self.connection.close(reason)
--- a/tests/net/test_relay_gap.py
+++ b/tests/net/test_relay_gap.py
@@ -1,4 +1,4 @@
-"""Slices that another controller may have had while the watch was lost, with simulated I/O."""
+"""Orders from before a lost watch, and orders that were delayed, with simulated I/O."""
 
 import pytest
 from helpers import (
@@ -20,7 +20,7 @@
 )
 
 from havendyke import interface as core
-from havendyke.net.relay_orders import AcknowledgementOrder
+from havendyke.net.relay_orders import AcknowledgementOrder, ClearOrder
 
 EXCLUSIVE = SETTINGS | {
     "familyInfo": SETTINGS["familyInfo"] | {"oneOwner": True, "lease": 2e8, "lingers": 1e8}
@@ -100,3 +100,20 @@
     snapshot = snapshot_stream(event_loop)
     feed(snapshot, [SUCCESS_REPLY, SLICE_ASSIGNED, table_entry("s2", 1.0), PING])
     assert snapshot.ended and assigner.relay.watch.slices.tables[4] == {"s2": 1.0}
+
+
+# Guards against two owners: a proxy that connects while orders wait for a connection has read the
+# former owner; the controller counts them as sent once the channel is available (fourth fault).
+@pytest.mark.parametrize("settings", [SETTINGS, EXCLUSIVE], ids=["shared", "exclusive"])
+@pytest.mark.parametrize("connect_ms", [40, 60])
+def test_orders_that_waited_for_a_connection_are_reported_with_exclusive_ownership(
+    settings, connect_ms
+):
+    assigner, event_loop = assigner_with_slice(settings)
+    assigner.relay.enqueue([ClearOrder(4), REQUEST])
+    take_pending_events(assigner)
+    event_loop.run_for(connect_ms)
+    call = event_loop.open("relay")
+    feed(call, [{"id": sent_orders(call)[1], "result": {"taken": 2}}])
+    statuses = [e.connected for e in take_pending_events(assigner, core.PushChannelStatus)]
+    assert statuses == ([False, True] if settings is EXCLUSIVE and connect_ms > 50 else [])
