--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -29,7 +29,6 @@
 PING_S = 1.0
 KEEPALIVE_S = 2.0
 LATE_S = 0.02  # how late the stand-ins may run before a verdict is not worth much
-RETRY_WORD = "policy"
 
 
 def now() -> float:
@@ -134,6 +133,7 @@
         self.withdrawn: dict[str, set[str]] = defaultdict(set)
         self.levels: dict[str, dict[str, tuple[float, int]]] = defaultdict(dict)
         self.joined: dict[str, float] = {}  # since, by assigner
+        self.inbox: dict[str, deque[dict]] = defaultdict(deque)  # messages on their way
         self.epoch: dict[str, int] = defaultdict(int)
         self.held: dict[str, bool] = defaultdict(bool)  # had an order since its own start
         self.read_at: dict[str, float] = {}
@@ -658,7 +658,8 @@
         at = max(now() + delay, proxy.read_at.get("due " + assigner.name, 0.0))
         at = max(at, proxy.read_at.get("arrival " + assigner.name, 0.0))
         proxy.read_at["arrival " + assigner.name] = at
-        self.after(at - now(), self._arrive, assigner, message)
+        proxy.inbox[assigner.name].append(message)
+        self.after(at - now(), self._arrive, assigner, proxy, message["epoch"])
 
     def draw_delay_s(self) -> float:
         """The way of a message: a quarter take nearly the longest time, the mean is as stated."""
@@ -668,25 +669,16 @@
         rest = max(0.02, (mean - 0.25 * 0.95 * most) / 0.75)
         return rest * self.random.uniform(0.4, 1.6)
 
-    def _arrive(self, assigner: Assigner, message: dict) -> None:
-        proxy = message["proxy"]
-        if message["epoch"] != proxy.epoch[assigner.name]:
+    def _arrive(self, assigner: Assigner, proxy: Proxy, epoch: int) -> None:
+        if epoch != proxy.epoch[assigner.name]:
             return
+        # Not the message of this timer: timers of the same time fire in any order.
+        message = proxy.inbox[assigner.name].popleft()
         name = assigner.name
         for order in message["orders"]:
-            op = order["op"]
-            if op == "SET":
-                self._set(proxy.tables.setdefault(order["table"], {}), order)
-                proxy.owner[order["table"]] = order["owner"]
-            elif op == "DEL":
-                proxy.tables[order["table"]] = {}
-            elif op == "OUT":
-                proxy.withdrawn[name].add(order["host"])
-            elif op == "IN":
-                proxy.withdrawn[name].discard(order["host"])
-            elif op == "LIMIT":
-                for word in order.get("routes") or [c[0] for c in self.options["classes"]]:
-                    proxy.levels[name][word] = (order["admit"], order[RETRY_WORD])
+            # What was ordered before the proxy read the store was in the store.
+            if message["ordered"] > proxy.read_at.get(f"slice {order.get('table')}", 0.0):
+                self._apply_order(proxy, name, order)
         self.log("applied", proxy.number, len(message["orders"]), "mark", message["mark"])
         proxy.held["any"] = True
         proxy.last_message[name] = max(proxy.last_message[name], message["ordered"])
@@ -696,6 +688,21 @@
                 assigner, "ACK", sidecar=proxy.number, version=message["mark"], lag_ms=round(lag, 1)
             )
 
+    def _apply_order(self, proxy: Proxy, name: str, order: dict) -> None:
+        match order["op"]:
+            case "SET":
+                self._set(proxy.tables.setdefault(order["table"], {}), order)
+                proxy.owner[order["table"]] = order["owner"]
+            case "DEL":
+                proxy.tables[order["table"]] = {}
+            case "OUT":
+                proxy.withdrawn[name].add(order["host"])
+            case "IN":
+                proxy.withdrawn[name].discard(order["host"])
+            case "LIMIT":
+                for word in order.get("routes") or [c[0] for c in self.options["classes"]]:
+                    proxy.levels[name][word] = (order["admit"], order["policy"])
+
     def _set(self, table: dict[str, float], order: dict) -> None:
         if order["share"] > 0 and self.options["exclusive"]:
             table.clear()
@@ -734,6 +741,7 @@
         if proxy.joined.pop(assigner.name, None) is None:
             return
         proxy.epoch[assigner.name] += 1
+        proxy.inbox[assigner.name].clear()
         proxy.broke_at[assigner.name] = now()
         for message in [m for m in assigner.channel if m["proxy"] is proxy]:
             assigner.channel.remove(message)
@@ -829,6 +837,7 @@
         for proxy in self.proxies:
             if proxy.joined.pop(assigner.name, None) is not None:
                 proxy.epoch[assigner.name] += 1
+                proxy.inbox[assigner.name].clear()
                 proxy.broke_at[assigner.name] = now()
 
     async def _ready(self, assigner: Assigner, start: int, began: float) -> None:
