--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,13 +24,12 @@
     assigner = world.assigners["n0"]
     step = {"due": False}
 
-    def after_emptying(orders: list[dict]) -> str:
+    def after_emptying(orders: list[dict]) -> None:
         if TROUBLE and step["due"] and any(order["op"] == "DEL" for order in orders):
             step["due"] = False
             world.after(0.05, world.reset_relay, assigner)
-        return ""
 
-    assigner.call_fault = after_emptying
+    assigner.on_call = after_emptying
     queue = list(world.servers.values())
     for number in range(STEPS):
         draining = [queue.pop(0) for _ in range(AT_A_TIME)]
