Relay watch: proxies that never left no longer count as disconnected after a gap

Cause: at the end of a gap all proxies were reported as disconnected and connected again. Pushes then awaited nobody, so that a cleared table counted as released one lease later, and the estimate of the queue was 0. Besides, a slice reported as assigned again lost the push that had emptied its table.

Change: a proxy that is connected before and after a gap is reported by an event of its own, ProxyResynchronised. Its pushes stay awaited and counted; an acknowledgement is requested from all proxies with the next push, as earlier ones may have been missed. An empty table that is reported again waits for the acknowledgements of all connected proxies, beside the lease.

--- a/benchmarks/_wire.py
+++ b/benchmarks/_wire.py
@@ -207,7 +207,9 @@
     return {"kind": "MEMBERS", "scope": WIRE_LIST_SCOPES[event.scope], "items": items}
 
 
-def encode_proxy_connected(event: interface.ProxyConnected) -> Message:
+def encode_proxy_connected(
+    event: interface.ProxyConnected | interface.ProxyResynchronised,
+) -> Message:
     """Encodes the start of a proxy's stream."""
     return {
         "kind": "JOINED",
@@ -293,6 +295,7 @@
 EVENT_ENCODERS: dict[type, Callable[[Any], Message]] = {
     interface.EndpointListUpdate: encode_list_update,
     interface.ProxyConnected: encode_proxy_connected,
+    interface.ProxyResynchronised: encode_proxy_connected,  # the wire misses no notification
     interface.ProxyDisconnected: encode_proxy_disconnected,
     interface.SliceAssignment: encode_slice_assignment,
     interface.SnapshotEntry: encode_snapshot_entry,
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -608,6 +608,12 @@
     return draw.choice((0.0, 1.0, 0.5, 1e-9, 3.0, 100.0, 2500.0, 1e6, 1e-300, 65535.0))
 
 
+def proxy_event(proxy, zone, rate, first_connection):
+    resynchronised = zone == 2 and not first_connection
+    event = core.ProxyResynchronised if resynchronised else core.ProxyConnected
+    return event(proxy, zone, rate, first_connection)
+
+
 def arbitrary_event(draw, registry, now):
     server, slice_ = registry.server(f"s{draw.below(7)}"), registry.slice(draw.below(6))
     proxy = registry.proxy(draw.below(5))
@@ -633,7 +639,7 @@
         )
     attempts = int(arbitrary_number(draw))
     return (
-        core.ProxyConnected(proxy, draw.below(3), arbitrary_number(draw), draw.flag()),
+        proxy_event(proxy, draw.below(3), arbitrary_number(draw), draw.flag()),
         core.ProxyDisconnected(proxy),
         core.SliceAssignment(slice_, draw.flag()),
         core.SnapshotEntry(slice_, server, arbitrary_number(draw)),
--- a/fuzz/targets/values.py
+++ b/fuzz/targets/values.py
@@ -78,7 +78,7 @@
                     "a start in the future",
                     entry.started_ms,
                 )
-        case core.ProxyConnected():
+        case core.ProxyConnected() | core.ProxyResynchronised():
             check_numbers(event.request_rate)
             check(0 <= event.zone < len(ZONES), "zone", event.zone)
         case core.PushAcknowledged():
--- a/havendyke/interface/events.py
+++ b/havendyke/interface/events.py
@@ -73,6 +73,20 @@
     first_connection: bool  # False: it may apply ejections of an earlier connection
 
 
+@dataclass(frozen=True, slots=True)
+class ProxyResynchronised:
+    """A proxy that was connected is connected now; notifications about it were missed in between.
+
+    It may have kept its stream, and then still receives what was sent on it, or it may have
+    reconnected. Acknowledgements may have been missed as well.
+    """
+
+    proxy: Proxy
+    zone: int
+    request_rate: float  # expected requests per second
+    first_connection: bool  # False: it may apply ejections of an earlier connection
+
+
 @dataclass(frozen=True, slots=True)
 class ProxyDisconnected:
     """A proxy's stream closed."""
@@ -175,6 +189,7 @@
 Event = (
     EndpointListUpdate
     | ProxyConnected
+    | ProxyResynchronised
     | ProxyDisconnected
     | SliceAssignment
     | SnapshotEntry
--- a/havendyke/net/proxy_sessions.py
+++ b/havendyke/net/proxy_sessions.py
@@ -1,11 +1,11 @@
 """Which proxies are connected and what they acknowledged, as reported to the controller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from .. import interface as core
 from ..registry import ObjectRegistry
 from .event_loop import EventLoop
-from .generations import is_present
+from .generations import is_present, next_absent, next_present
 from .wire_relay import Acknowledgement, Subscription
 
 
@@ -55,12 +55,33 @@
                 )
             )
 
-    def disconnect_all(self) -> None:
-        """Reports all proxies as disconnected."""
+    def resynchronise(self, subscriptions: Mapping[int, Subscription]) -> None:
+        """Reports the state of the connected proxies after notifications were missed.
+
+        `subscriptions`: of the proxies that are connected now. The others are reported as
+        disconnected. New proxies are left to `update`.
+        """
         for proxy_id, generation in list(self.generations.items()):
-            if is_present(generation):
-                self.generations[proxy_id] = generation + 1
-                self._notify(core.ProxyDisconnected(self._registry.proxy(proxy_id)))
+            if not is_present(generation):
+                continue
+            subscription = subscriptions.get(proxy_id)
+            if subscription is None:
+                self.update(proxy_id, next_absent(generation), None)
+            else:
+                self._resynchronise_proxy(proxy_id, subscription)
+
+    def _resynchronise_proxy(self, proxy_id: int, subscription: Subscription) -> None:
+        # Acknowledgements of the former connection may be repeated on the present one.
+        self.generations[proxy_id] = next_present(self.generations[proxy_id])
+        self.last_connected_ms = self._event_loop.now()
+        self._notify(
+            core.ProxyResynchronised(
+                self._registry.proxy(proxy_id),
+                subscription.zone,
+                subscription.request_rate,
+                subscription.first_connection,
+            )
+        )
 
     def acknowledge(self, proxy_id: int, acknowledgement: Acknowledgement) -> bool:
         """Reports an acknowledgement; False where another stream has reported it already."""
--- a/havendyke/net/relay_watch.py
+++ b/havendyke/net/relay_watch.py
@@ -221,7 +221,7 @@
         ends_gap = is_only_one and self._has_gap
         stream.state = StreamState.SYNCHRONISED
         if ends_gap:
-            self._report_departed(tables)
+            self._end_gap(stream, tables)
         if is_only_one:
             self._align_all_proxies(stream)
         else:
@@ -244,13 +244,19 @@
             slices=len(tables),
         )
 
-    def _report_departed(self, tables: Tables) -> None:
-        """Ends a gap: reports what has left, or may have left and returned.
+    def _end_gap(self, stream: RelayStream, tables: Tables) -> None:
+        """Reports what may have changed while no stream was synchronised.
 
-        Acknowledgements were lost, proxies may have reconnected and slices may have been assigned
-        elsewhere: nothing that was reported before is valid any more.
+        Acknowledgements were missed, proxies may have reconnected and slices may have been assigned
+        elsewhere meanwhile. A proxy that is still connected may also have kept its stream: what was
+        sent to it is on its way.
         """
-        self.proxies.disconnect_all()
+        connected = {
+            proxy_id: stream.subscriptions[proxy_id]
+            for proxy_id, generation in stream.proxies.items()
+            if is_present(generation)
+        }
+        self.proxies.resynchronise(connected)
         self.slices.unassign_missing(tables)
         self._has_gap = False
 
--- a/havendyke/policy/push_scheduler.py
+++ b/havendyke/policy/push_scheduler.py
@@ -195,6 +195,7 @@
             for push in channel.pushes
             if push.sent_ms > requested_after_ms
             for proxy in push.awaiting_proxies
+            if push.serial > proxy.missed_serial
         }
         return any(
             proxy.acknowledged_serial < channel.last_serial and proxy not in requested
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -15,6 +15,7 @@
     ListScope,
     ProxyConnected,
     ProxyDisconnected,
+    ProxyResynchronised,
     PushAcknowledged,
     PushChannelStatus,
     ServerLoad,
@@ -65,6 +66,8 @@
         # Whether an event requires a reconciliation before the next tick.
         self.reconciliation_due = True
         self.ejections = EjectionConfirmations(self.servers)
+        # Stands for all pushes so far; shared by the slices that are reported again at one time.
+        self._unacknowledged_push: Push | None = None
         # The last push that was certainly sent before the channel was interrupted.
         self._serial_before_interruption = 0
 
@@ -147,7 +150,7 @@
         server.zone = entry.zone
         server.size = entry.size if self.settings.sizes_stated and entry.size > 0 else 1.0
 
-    def _connect_proxy(self, event: ProxyConnected) -> None:
+    def _connect_proxy(self, event: ProxyConnected | ProxyResynchronised) -> None:
         proxy = event.proxy
         if proxy.connected:
             self.connected_by_zone[proxy.zone].adjust(-1)
@@ -161,6 +164,17 @@
         if not self.settings.slice_count:
             self.reconciliation_due = True
 
+    def _resynchronise_proxy(self, event: ProxyResynchronised) -> None:
+        """Treats the proxy as if it had reconnected, except that it may have kept its stream.
+
+        Pushes from before stay queued in its channel and unacknowledged: without an acknowledgement
+        nothing proves that the proxy has applied them.
+        """
+        self._connect_proxy(event)
+        event.proxy.missed_serial = self.channel.last_serial
+        # Another proxy may have connected, read the tables and disconnected in between.
+        self.last_disconnect_ms = self.now_ms
+
     def _disconnect_proxy(self, event: ProxyDisconnected) -> None:
         proxy = event.proxy
         if proxy.connected:
@@ -172,7 +186,8 @@
 
     def _assign_slice(self, event: SliceAssignment) -> None:
         slice_ = event.slice
-        if not slice_.assigned:
+        was_assigned = slice_.assigned
+        if not was_assigned:
             slice_.observed_since_ms = self.now_ms
         if event.assigned:
             # Also where it was assigned: it may have had another controller in between.
@@ -181,12 +196,29 @@
         slice_.published = {}
         slice_.desired = {}
         slice_.last_push_serial = None
-        # If no snapshot entry follows, the previous controller may just have removed the primary,
-        # and proxies may still use it.
-        lease_end_ms = self.last_disconnect_ms + self.settings.lease_ms
-        slice_.clearing_push = Push(0, 0, set(), self.now_ms, max(self.now_ms, lease_end_ms))
+        # If no snapshot entry follows, the table has just been emptied, by the previous controller
+        # or by this one, and proxies may still use the former primary.
+        slice_.clearing_push = self._push_before_assignment(was_assigned)
         self.reconciliation_due = True
 
+    def _push_before_assignment(self, was_assigned: bool) -> Push:
+        """Stands for the push that emptied the table of a slice that is reported as assigned.
+
+        Proxies stop to use the entries of another controller when their lease ends. A slice that
+        `was_assigned` may have been emptied by a push of this controller, which only an
+        acknowledgement proves to be applied.
+        """
+        lease_end_ms = self.last_disconnect_ms + self.settings.lease_ms
+        settled_ms = max(self.now_ms, lease_end_ms)
+        if not (was_assigned and self.settings.exclusive_ownership):
+            return Push(0, 0, set(), self.now_ms, settled_ms)
+        push = self._unacknowledged_push
+        serial = self.channel.last_serial
+        if push is None or (push.serial, push.sent_ms) != (serial, self.now_ms):
+            push = self._unacknowledged_push = Push(serial, 0, set(), self.now_ms, settled_ms)
+            self.channel.restart(push, self.connected_proxies(), self.now_ms, settled_ms)
+        return push
+
     def _restore_entry(self, event: SnapshotEntry) -> None:
         slice_ = event.slice
         slice_.published[event.server] = event.weight
@@ -267,6 +299,7 @@
     _HANDLERS: ClassVar[dict[type, Callable[[ObservedState, Any], None]]] = {
         EndpointListUpdate: _update_endpoint_list,
         ProxyConnected: _connect_proxy,
+        ProxyResynchronised: _resynchronise_proxy,
         ProxyDisconnected: _disconnect_proxy,
         SliceAssignment: _assign_slice,
         SnapshotEntry: _restore_entry,
--- a/havendyke/state/proxy.py
+++ b/havendyke/state/proxy.py
@@ -22,6 +22,8 @@
         self.known = False  # has connected to this process
         self.acknowledged_serial = 0  # 0: no push acknowledged on this stream
         self.applied_serial = 0  # the last push acknowledged on any stream
+        # Acknowledgements of the pushes up to this one may have been missed.
+        self.missed_serial = 0
         self.bound = False  # to its shared tables, in a deployment without slices
 
 
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -249,6 +249,11 @@
         for proxy in proxies:
             self.observe(core.ProxyDisconnected(proxy))
 
+    def resynchronise(self, *proxies: Proxy) -> None:
+        """Notifications were missed, and these proxies are connected afterwards."""
+        for proxy in proxies:
+            self.observe(core.ProxyResynchronised(proxy, 0, 5.0, False))
+
     def acknowledge(self, *proxies: Proxy, nonce: int = 1) -> None:
         for proxy in proxies:
             self.observe(core.PushAcknowledged(proxy, nonce, 300.0))
--- a/tests/net/test_relay_gap.py
+++ b/tests/net/test_relay_gap.py
@@ -1,5 +1,6 @@
 """Orders from before a lost watch, and orders that were delayed, with simulated I/O."""
 
+import orjson
 import pytest
 from helpers import (
     PING,
@@ -8,6 +9,7 @@
     SLICE_ASSIGNED,
     SUCCESS_REPLY,
     TABLE_ENTRY,
+    complete_list,
     feed,
     make_assigner,
     open_watch_stream,
@@ -117,3 +119,102 @@
     feed(call, [{"id": sent_orders(call)[1], "result": {"taken": 2}}])
     statuses = [e.connected for e in take_pending_events(assigner, core.PushChannelStatus)]
     assert statuses == ([False, True] if settings is EXCLUSIVE and connect_ms > 50 else [])
+
+
+class AnsweringRelay:
+    """Carries out every call at once, and reports what stands on every watch stream.
+
+    Streams and proxies are as the test sets them; no proxy acknowledges by itself.
+    """
+
+    def __init__(self, event_loop, *proxies):
+        self.event_loop = event_loop
+        self.proxies = list(proxies)
+        self.table = {"s1": 1.0}
+        self.orders = []
+        event_loop.on_connect = lambda connection: event_loop.soon(
+            lambda: self._accept(event_loop.establish(connection))
+        )
+
+    def _accept(self, connection):
+        if connection.peer.name == "relay":
+            connection.transport.on_write = lambda: self._answer(connection)
+            self._answer(connection)
+        elif connection.peer.name == "relay_watch":
+            self.report_state(connection)
+
+    def report_state(self, stream):
+        entries = [table_entry(*entry) for entry in self.table.items()]
+        feed(stream, [SUCCESS_REPLY, *self.proxies, SLICE_ASSIGNED, *entries, PING])
+
+    def _answer(self, connection):
+        written, connection.transport.written = connection.transport.written, b""
+        for line in written.splitlines():
+            call = orjson.loads(line)
+            orders = call["params"]["orders"]
+            self.orders += orders
+            for order in orders:
+                self._apply(order)
+            reply = {"id": call["id"], "result": {"taken": len(orders)}}
+            self.event_loop.soon(lambda reply=reply: feed(connection, [reply]))
+
+    def _apply(self, order):
+        if order["op"] == "DEL":
+            self.table = {}
+        elif order["op"] == "SET":
+            self.table = {order["host"]: order["share"]}
+
+    def take_orders(self):
+        taken, self.orders = self.orders, []
+        return taken
+
+    def run_for(self, seconds):
+        for _ in range(seconds):
+            self.event_loop.run_for(1000)
+            for stream in self.event_loop.open_connections("relay_watch"):
+                feed(stream, [PING])
+
+    def reset(self):
+        """All connections of the assigner to the relay break."""
+        for connection in self.event_loop.open_connections("relay", "relay_watch"):
+            connection.connection_lost(ConnectionResetError())
+
+    def acknowledge(self, nonce, proxy_id=1):
+        params = {"sidecar": proxy_id, "version": nonce, "lag_ms": 1100.0}
+        for stream in self.event_loop.open_connections("relay_watch"):
+            feed(stream, [{"method": "ACK", "params": params}])
+
+
+def owner_cleared():
+    """The relay of an assigner that has just cleared the table of a draining owner."""
+    assigner, event_loop = make_assigner(EXCLUSIVE | {"limits": {"probes": False}})
+    relay = AnsweringRelay(event_loop, PROXY_CONNECTED)
+    assigner.start()
+    relay.run_for(2)
+    relay.acknowledge(last_nonce(relay.take_orders()))
+    update = complete_list("s1", "s2", "s3", rev=2)
+    update["targets"][0]["state"] = "terminating"
+    codec = assigner.peer_codecs.endpoint_list
+    assigner.notify(codec.decode(update, core.ListScope.COMPLETE).event)
+    relay.run_for(1)
+    assert "DEL" in [order["op"] for order in relay.orders] and not relay.table
+    return relay
+
+
+def last_nonce(orders):
+    return [order["nonce_out"] for order in orders if order["op"] == "SYNC"][-1]
+
+
+# Guards against two owners: the relay broke its news while the message that cleared a table was on
+# its way, and the next owner was set though no proxy had acknowledged it (review case 6).
+def test_a_table_cleared_before_a_gap_is_not_assigned_without_acknowledgements():
+    relay = owner_cleared()
+    nonce = last_nonce(relay.take_orders())
+    relay.reset()
+    relay.run_for(5)
+    orders = relay.take_orders()
+    assert {order["op"] for order in orders} == {"SYNC"}
+    assert last_nonce(orders) > nonce  # an earlier acknowledgement may have been missed
+    relay.acknowledge(last_nonce(orders))
+    relay.run_for(2)
+    assert "SET" in [order["op"] for order in relay.take_orders()]
--- a/tests/policy/test_exclusive_ownership.py
+++ b/tests/policy/test_exclusive_ownership.py
@@ -193,6 +193,63 @@
     assert handover_ms(harness, following) == HANDOVER_MS
 
 
+def resynchronised_after_clearing(proxy_count=3):
+    """Returns a controller whose notifications broke just after a push cleared a slice's table."""
+    harness, following, proxies = cleared_slice(proxy_count)
+    harness.advance(50.0)
+    harness.resynchronise(*proxies)
+    (slice_,) = harness.slices
+    harness.assign(slice_)  # reported again, without an entry
+    harness.set_desired(slice_, {following: 1.0})
+    return harness, following, proxies
+
+
+# Guards against two owners: the relay broke its notifications while the message that cleared a
+# table was on its way, and the next owner was set without the proxies' acknowledgements (case 6).
+@pytest.mark.parametrize("count", [0, 2])
+def test_proxies_whose_notifications_were_missed_must_acknowledge_the_cleared_table(count):
+    harness, following, proxies = resynchronised_after_clearing()
+    harness.acknowledge(*proxies[:count])
+    assert handover_ms(harness, following) is None
+
+
+@pytest.mark.parametrize("acknowledged_ms", [100.0, 2 * LEASE_MS])
+def test_after_missed_notifications_the_next_primary_follows_the_last_acknowledgement(
+    acknowledged_ms,
+):
+    harness, following, proxies = resynchronised_after_clearing()
+    harness.advance(acknowledged_ms)
+    harness.acknowledge(*proxies)
+    # The slice may also have been another controller's, whose proxies keep their leases.
+    unused_since_ms = max(acknowledged_ms, LEASE_MS)
+    expected_ms = unused_since_ms + WRITE_IN_FLIGHT_MS - acknowledged_ms
+    assert handover_ms(harness, following) == pytest.approx(expected_ms, abs=100.0)
+
+
+def test_acknowledgements_that_may_have_been_missed_are_requested_again():
+    harness, following, proxies = resynchronised_after_clearing()
+    harness.advance(PUSH_INTERVAL_MS)
+    assert harness.emit() == [core.RequestAcknowledgement(2, True)]
+    harness.advance(LEASE_MS)
+    harness.acknowledge(*proxies, nonce=2)
+    assert handover_ms(harness, following) == WRITE_IN_FLIGHT_MS
+
+
+def test_an_empty_table_reported_again_waits_for_messages_on_their_way():
+    # A clearing order of this controller can be carried out after its table was read as full.
+    harness, following, proxies = cleared_slice(2)
+    (slice_,) = harness.slices
+    harness.assign(slice_)
+    harness.restore_entry(slice_, harness.servers[0])
+    harness.assign(slice_)
+    harness.set_desired(slice_, {following: 1.0})
+    harness.acknowledge(proxies[0])
+    assert handover_ms(harness, following) is None
+    harness.acknowledge(proxies[1])
+    waited_ms = handover_ms(harness, following)
+    assert WRITE_IN_FLIGHT_MS <= waited_ms <= WRITE_IN_FLIGHT_MS + PUSH_INTERVAL_MS
+
+
 def test_an_acknowledgement_is_processed_without_iterating_over_all_slices():
     harness, _, proxies = cleared_slice(3)
     harness.forbid_iteration_over_slices()
--- a/tests/policy/test_push_scheduler.py
+++ b/tests/policy/test_push_scheduler.py
@@ -90,6 +90,35 @@
     assert harness.queued_entries() == queued
 
 
+# Guards against an overfilled channel: after a break of the relay's notifications the queue of a
+# slow channel was taken for empty (case 9).
+def test_what_waits_in_the_channel_stays_counted_when_notifications_were_missed():
+    harness = ControllerHarness()
+    proxies = harness.connect_proxies(2)
+    harness.add_unacknowledged_push(entries_per_proxy=100.0, proxies=proxies, queued_entries=5000.0)
+    harness.advance(1000.0)
+    harness.resynchronise(*proxies)
+    assert harness.queued_entries() == 200.0
+    harness.acknowledge(*proxies)
+    assert harness.queued_entries() == 0.0
+
+
+def test_an_acknowledgement_that_may_have_been_missed_is_requested_once():
+    harness = ControllerHarness()
+    former, following = harness.add_servers(2)
+    (slice_,) = harness.add_slices([former])
+    proxies = harness.connect_proxies(2)
+    harness.set_desired(slice_, {following: 1.0})
+    harness.emit()
+    harness.resynchronise(*proxies)
+    harness.advance(1000)
+    assert harness.emit() == [core.RequestAcknowledgement(2, True)]
+    harness.advance(1000)
+    assert harness.emit() == []
+    harness.acknowledge(*proxies, nonce=2)
+    assert not harness.has_unacknowledged_pushes()
+
+
 def test_an_acknowledgement_is_requested_from_a_proxy_that_reconnects():
     # Without one, its slices would never count as settled.
     harness = ControllerHarness()
