Connections: input is handled in turns, so that no peer keeps the others waiting

Cause: all complete messages of a connection's buffer were handled in one turn of the event loop. The buffer grows with the longest message to 1 MiB, and the next read fills it. Splitting a load text of 1 MiB took 150 ms, and quoting a message in an error its whole repr. Told apart by a flood for each kind of message before the real program, with another client's PING every 20 ms beside it.

Change: Connection handles messages for 2 ms (0.1 ms for a client) or 64 messages, pauses reading and goes on after the other connections; it reads 16 KiB at a time. Peer.received becomes Peer.handle_next, one message a call. A load text is limited to 4,096 characters, and an error reads only the start of each value.

--- a/havendyke/config/limits.py
+++ b/havendyke/config/limits.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from functools import cached_property
+from typing import Any, ClassVar
 
 from ..fields import read_field, read_integer, read_ms, read_number
 
@@ -15,9 +16,23 @@
 MAX_CONNECT_TIMEOUT_MS = 60_000.0
 
 
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """What one connection may cost in memory, and in one turn of the event loop."""
+
+    initial_buffer_bytes: int
+    max_read_bytes: int
+    max_write_buffer_bytes: int
+    max_turn_ms: float
+    max_messages_per_turn: int
+
+
 @dataclass(frozen=True)
 class Limits:
-    """Sizes, counts and times of the protocols, read once at startup."""
+    """Sizes, counts and times of the protocols, read once at startup.
+
+    Those that no deployment differs in are class variables.
+    """
 
     # Process.
 
@@ -38,8 +53,13 @@
     initial_buffer_bytes: int = 1 << 14
     # Growth of all buffers together beyond their initial sizes.
     buffer_budget_bytes: float = 48e6
+    # Bytes read at a time.
+    max_read_bytes: ClassVar[int] = 1 << 14
     # Written bytes that the peer has not read yet.
     max_write_buffer_bytes: int = 1 << 16
+    # One turn of a connection whose input has arrived; then all others have theirs.
+    max_turn_ms: ClassVar[float] = 2.0
+    max_messages_per_turn: ClassVar[int] = 64
     # One line of an HTTP head; also the body of the response to a health check.
     max_header_bytes: int = 1 << 14
 
@@ -53,6 +73,8 @@
     max_unidentified_message_bytes: int = 1 << 12
     # Initial buffer of a client's connection.
     initial_client_buffer_bytes: int = 1 << 12
+    # One turn of a client; those of `max_clients` together take a tenth of a second.
+    max_client_turn_ms: ClassVar[float] = 0.1
     # Time for which a closing connection lingers, so that the peer can read our last message.
     linger_ms: float = 200.0
     # Connections that linger at a time; beyond that, connections are aborted.
@@ -153,6 +175,28 @@
     # Time between log lines that summarize the fleet.
     summary_interval_ms: float = 1000.0
 
+    @cached_property
+    def outgoing_connection(self) -> ConnectionLimits:
+        """The limits of a connection that the assigner opens."""
+        return ConnectionLimits(
+            initial_buffer_bytes=self.initial_buffer_bytes,
+            max_read_bytes=self.max_read_bytes,
+            max_write_buffer_bytes=self.max_write_buffer_bytes,
+            max_turn_ms=self.max_turn_ms,
+            max_messages_per_turn=self.max_messages_per_turn,
+        )
+
+    @cached_property
+    def client_connection(self) -> ConnectionLimits:
+        """The limits of a client's connection."""
+        return ConnectionLimits(
+            initial_buffer_bytes=self.initial_client_buffer_bytes,
+            max_read_bytes=self.max_read_bytes,
+            max_write_buffer_bytes=self.max_write_buffer_bytes,
+            max_turn_ms=self.max_client_turn_ms,
+            max_messages_per_turn=self.max_messages_per_turn,
+        )
+
 
 def read_limits(raw: object, settings: Mapping[str, Any]) -> Limits:
     """The limits by the configuration's section `limits` and its settings; raises `FieldError`."""
--- a/havendyke/fields.py
+++ b/havendyke/fields.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from itertools import islice
 from types import EllipsisType
 from typing import Any, TypeAlias, TypeVar, overload
 
@@ -25,8 +26,15 @@
 
 
 def excerpt(message: object) -> str:
-    """The start of a message's `repr`, for error messages."""
-    return repr(message)[:MAX_MESSAGE_LENGTH]
+    """The start of a message's `repr`, for error messages; the rest costs no time."""
+    if isinstance(message, dict):
+        items = islice(message.items(), MAX_MESSAGE_LENGTH)
+        message = {_start(key): _start(value) for key, value in items}
+    return repr(_start(message))[:MAX_MESSAGE_LENGTH]
+
+
+def _start(value: object) -> object:
+    return value[:MAX_MESSAGE_LENGTH] if isinstance(value, str) else value
 
 
 @overload
--- a/havendyke/lab/event_loop.py
+++ b/havendyke/lab/event_loop.py
@@ -24,6 +24,7 @@
             on_write,
             on_abort,
         )
+        self.paused = False
 
     def write(self, data: bytes):
         """Keeps the data."""
@@ -40,6 +41,14 @@
             self.on_abort()
         self.aborted = True
 
+    def pause_reading(self):
+        """Has `feed` run the event loop before it delivers more."""
+        self.paused = True
+
+    def resume_reading(self):
+        """Ends `pause_reading`."""
+        self.paused = False
+
     def get_write_buffer_size(self) -> int:
         """Bytes that the peer has not read yet."""
         return self.unread
@@ -142,3 +151,5 @@
         space[:count] = data[:count]
         connection.buffer_updated(count)
         data = data[count:]
+        while not connection.ended and getattr(connection.transport, "paused", False):
+            connection.handle_input()
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -47,13 +47,16 @@
         self._parser = RespParser(connection.buffer, limits.max_unidentified_message_bytes)
         self._identify_timer.start(limits.identify_timeout_ms)
 
-    def received(self, connection: Connection) -> None:
-        """Handles all complete messages."""
-        while not connection.ended and (message := self._parser.next()) is not None:
-            try:
-                self._handle_message(message)
-            except ValueError as error:
-                self._reject_message(error)
+    def handle_next(self, connection: Connection) -> bool:
+        """Handles the next message; returns whether one was complete."""
+        message = self._parser.next()
+        if message is None:
+            return False
+        try:
+            self._handle_message(message)
+        except ValueError as error:
+            self._reject_message(error)
+        return True
 
     def closed(self, connection: Connection, reason: str) -> None:
         """Removes the client."""
--- a/havendyke/net/connection.py
+++ b/havendyke/net/connection.py
@@ -7,6 +7,7 @@
 from enum import Enum, StrEnum
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from ..config import ConnectionLimits
 from .buffer import Buffer
 from .deadlines import Deadline
 
@@ -24,8 +25,12 @@
     def opened(self, connection: Any) -> None:
         """Called once the connection is established."""
 
-    def received(self, connection: Any) -> None:
-        """Called when the connection's buffer has received bytes."""
+    def handle_next(self, connection: Any) -> bool:
+        """Handles the next message, or a part of it; returns whether to be called again.
+
+        False where the connection's buffer must receive more bytes first. Each call takes a time
+        that does not grow with the bytes received.
+        """
 
     def closed(self, connection: Any, reason: str) -> None:
         """Called once when the connection has ended."""
@@ -56,34 +61,35 @@
 class Connection(asyncio.BufferedProtocol):
     """A connection that occupies a slot of the event loop and has a buffer.
 
+    Input is handled in turns of limited length, so that a remote end that sends without pause does
+    not keep the others waiting. Nothing more is read until all complete messages were handled.
+
     An exception in a method of `Peer` closes this connection and no other. `ValueError` means that
     the remote end sent a malformed message, any other exception that this program has a defect.
     """
 
     def __init__(
-        self, event_loop: EventLoop, peer: Peer, initial_buffer_size: int | None = None
+        self, event_loop: EventLoop, peer: Peer, limits: ConnectionLimits | None = None
     ) -> None:
-        """`initial_buffer_size`: bytes; the size that the limits state by default."""
-        limits = event_loop.limits
+        """`limits`: by default those of connections that the assigner opens."""
         self.event_loop = event_loop
         self.peer = peer
+        self.limits = limits or event_loop.limits.outgoing_connection
         self.buffer = Buffer(
-            initial_buffer_size or limits.initial_buffer_bytes,
-            limits.max_message_bytes,
+            self.limits.initial_buffer_bytes,
+            event_loop.limits.max_message_bytes,
             event_loop.buffer_budget,
         )
+        self._reading_paused = False
+        self._turn_scheduled = False
         self.state = ConnectionState.CONNECTING
+        self.ended = False  # as far as the `Peer` is concerned: lingering or closed
         self.slot: int | None = None
         self.transport: asyncio.Transport | None = None
         self.deadline: Deadline | None = None
         self.connect_task: asyncio.Task[None] | None = None
         self.last_received_ms = event_loop.now()  # initially the time of creation
 
-    @property
-    def ended(self) -> bool:
-        """Whether the connection has ended as far as its `Peer` is concerned."""
-        return self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED)
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by asyncio when the socket is connected."""
         self.transport = cast(asyncio.Transport, transport)
@@ -97,16 +103,41 @@
 
     def get_buffer(self, sizehint: int) -> memoryview | bytearray:
         """Called by asyncio for the space for the next bytes."""
-        free_space = None if self.ended else self._call_peer(self.buffer.free_space)
+        space: memoryview | None = None
+        if not self.ended:
+            space = self._call_peer(self.buffer.free_space)
         # Bytes that arrive after the end are discarded.
-        return self.event_loop.discard_buffer if free_space is None else free_space
+        if space is None:
+            return self.event_loop.discard_buffer
+        return space[: self.limits.max_read_bytes]
 
     def buffer_updated(self, count: int) -> None:
         """Called by asyncio when `count` bytes were received."""
         if not self.ended:
             self.buffer.end += count
             self.last_received_ms = self.event_loop.now()
-            self._call_peer(self.peer.received, self)
+            self._take_turn(self.last_received_ms)
+
+    def handle_input(self) -> None:
+        """Handles messages until none is complete or the turn is over; then goes on later."""
+        if not self.ended:
+            self._take_turn(self.event_loop.now())
+
+    def _take_turn(self, now_ms: float) -> None:
+        if self._call_peer(self._handle_messages, now_ms + self.limits.max_turn_ms):
+            self._schedule_turn()
+        elif self._reading_paused and self.transport is not None:
+            self._reading_paused = False
+            self.transport.resume_reading()
+
+    def _handle_messages(self, end_ms: float) -> bool:
+        """Handles messages until none is complete or time is up; returns whether it is."""
+        for _ in range(self.limits.max_messages_per_turn):
+            if not self.peer.handle_next(self) or self.ended:
+                return False
+            if self.event_loop.now() >= end_ms:
+                break
+        return True
 
     def eof_received(self) -> bool:
         """Called by asyncio when the remote end has closed its direction; closes ours as well."""
@@ -129,10 +160,7 @@
         """
         if self.transport is not None and not self.ended:
             self.transport.write(data)
-            if (
-                self.transport.get_write_buffer_size()
-                > self.event_loop.limits.max_write_buffer_bytes
-            ):
+            if self.transport.get_write_buffer_size() > self.limits.max_write_buffer_bytes:
                 self.close("unread")
 
     def close(self, reason: str, linger_ms: float = 0.0) -> None:
@@ -142,6 +170,7 @@
         """
         if self.ended:
             return
+        self.ended = True
         self.state = ConnectionState.CLOSED
         self.event_loop.cancel(self.deadline)
         # Deferred: a caller may be using messages that are slices of the buffer.
@@ -154,8 +183,22 @@
 
     def reject(self) -> None:
         """Has the connection aborted once it is established, without notifying its `Peer`."""
+        self.ended = True
         self.state = ConnectionState.CLOSED
 
+    def _schedule_turn(self) -> None:
+        """Has the other connections go first; reads nothing more until then."""
+        if self.transport is not None and not self._reading_paused:
+            self._reading_paused = True
+            self.transport.pause_reading()
+        if not self._turn_scheduled:
+            self._turn_scheduled = True
+            self.event_loop.loop.call_soon(self._run_scheduled_turn)
+
+    def _run_scheduled_turn(self) -> None:
+        self._turn_scheduled = False
+        self.handle_input()
+
     def _call_peer(self, method: Callable[..., Any], *arguments: Any) -> Any:
         try:
             return method(*arguments)
--- a/havendyke/net/event_loop.py
+++ b/havendyke/net/event_loop.py
@@ -119,7 +119,7 @@
 
     def accept(self, peer: Peer) -> Connection:
         """Creates the connection of a new client, rejected already if no slot is free."""
-        connection = Connection(self, peer, self.limits.initial_client_buffer_bytes)
+        connection = Connection(self, peer, self.limits.client_connection)
         if self._assign_slot(connection):
             self.count("accepted")
         else:
--- a/havendyke/net/health_checks.py
+++ b/havendyke/net/health_checks.py
@@ -59,15 +59,17 @@
         self._response = ResponseParser(connection.buffer, self._event_loop.limits.max_header_bytes)
         connection.write(get_request(self._checker.path, self._address, "Connection: close\r\n"))
 
-    def received(self, connection: Connection) -> None:
-        """Handles the received part of the response; raises `MessageTooLongError`."""
+    def handle_next(self, connection: Connection) -> bool:
+        """Handles the next part of the response; raises `MessageTooLongError`."""
         assert self._response is not None
-        while (part := self._response.next()) is not None:
+        part = self._response.next()
+        if part is not None:
             self._body += bytes(part)
             if len(self._body) > self._event_loop.limits.max_header_bytes:
                 raise MessageTooLongError("a load report is too long")
         if self._response.done:
             connection.close("answered")
+        return part is not None
 
     def closed(self, connection: Connection, reason: str) -> None:
         """Reports the outcome to the checker."""
--- a/havendyke/net/list_queries.py
+++ b/havendyke/net/list_queries.py
@@ -87,24 +87,21 @@
             request = get_request(PATH, self.address, "Connection: close\r\n")
         connection.write(request)
 
-    def received(self, connection: Connection) -> None:
-        """Handles the received part of the response."""
-        assert self._response is not None
-        lines = self._response.lines
-        while (part := self._next_part(self._response)) is not None:
-            # Only bytes of the body count; a connection that sends none is silent.
-            self._expect_bytes()
-            if self.state is QueryState.REQUESTED:
-                self.state = QueryState.RECEIVING
-                self.discovery.query_established(self)
-            self.discovery.mark_reachable()
-            self._response.body.append(part)
-            while self.follow and (line := lines.next()) is not None:
-                if line:
-                    self.discovery.handle_update(self, parse_object(line))
-        if self._response.parser.done:
-            self._handle_end(self._response)
+    def handle_next(self, connection: Connection) -> bool:
+        """Handles the next update of a watch, or receives the next part of the response."""
+        response = self._response
+        assert response is not None
+        if self.follow and (line := response.lines.next()) is not None:
+            if line:
+                self.discovery.handle_update(self, parse_object(line))
+            return True
+        part = self._next_part(response)
+        if part is not None:
+            self._body_received(response, part)
+        elif response.parser.done:
+            self._handle_end(response)
             connection.close("done")
+        return part is not None
 
     def closed(self, connection: Connection, reason: str) -> None:
         """Handles a response that ends with the connection, and notifies `Discovery`."""
@@ -141,6 +138,15 @@
             raise FieldError(f"response status {parser.status}")
         return part
 
+    def _body_received(self, response: _Response, part: memoryview) -> None:
+        # Only bytes of the body count; a connection that sends none is silent.
+        self._expect_bytes()
+        if self.state is QueryState.REQUESTED:
+            self.state = QueryState.RECEIVING
+            self.discovery.query_established(self)
+        self.discovery.mark_reachable()
+        response.body.append(part)
+
     def _handle_end(self, response: _Response) -> None:
         if not self.follow:
             body = response.body
@@ -165,19 +171,21 @@
         """Connects; `connection` is None if no slot is free."""
         super().__init__(discovery, follow=True, may_reveal_restart=False)
 
-    def received(self, connection: Connection) -> None:
-        """Handles the first line."""
+    def handle_next(self, connection: Connection) -> bool:
+        """Receives the next part of the response; handles the first line."""
         response = self._response
         assert response is not None
-        while (part := self._next_part(response)) is not None:
-            response.body.append(part)
-            line = response.lines.next()
-            if line is not None:
-                self._handle_line(line)
-                connection.close("done")
-                return
-        if response.parser.done:
-            connection.close("ended")
+        part = self._next_part(response)
+        if part is None:
+            if response.parser.done:
+                connection.close("ended")
+            return False
+        response.body.append(part)
+        line = response.lines.next()
+        if line is not None:
+            self._handle_line(line)
+            connection.close("done")
+        return True
 
     def closed(self, connection: Connection, reason: str) -> None:
         """Notifies `Discovery`."""
--- a/havendyke/net/relay_client.py
+++ b/havendyke/net/relay_client.py
@@ -198,11 +198,12 @@
         if not self.call:
             self._close_when_idle()
 
-    def received(self, connection: Connection) -> None:
-        """Bytes were received: handles the complete replies among them."""
-        while self._parser is not None and (line := self._parser.next()) is not None:
-            if line:
-                self._handle_reply(parse_object(line))
+    def handle_next(self, connection: Connection) -> bool:
+        """Handles the next reply; returns whether one was complete."""
+        line = self._parser.next() if self._parser is not None else None
+        if line:
+            self._handle_reply(parse_object(line))
+        return line is not None
 
     def closed(self, connection: Connection, reason: str) -> None:
         """The connection was closed."""
--- a/havendyke/net/relay_stream.py
+++ b/havendyke/net/relay_stream.py
@@ -129,16 +129,15 @@
         self.requested_ms = self._event_loop.now()
         connection.write(encode_call(self._owner.next_request_id(), Method.WATCH))
 
-    def received(self, connection: Connection) -> None:
-        """Bytes were received: handles the complete messages among them."""
-        has_message = False
-        while self._parser is not None and (line := self._parser.next()) is not None:
-            if line:
-                self._handle_message(parse_object(line))
-                has_message = True
-        # Bytes without a complete message do not restart the silence timer.
-        if has_message and self.is_watch:
-            self._expect_message()
+    def handle_next(self, connection: Connection) -> bool:
+        """Handles the next message; returns whether one was complete."""
+        line = self._parser.next() if self._parser is not None else None
+        if line:
+            self._handle_message(parse_object(line))
+            # Bytes without a complete message do not restart the silence timer.
+            if self.is_watch and not connection.ended:
+                self._expect_message()
+        return line is not None
 
     def closed(self, connection: Connection, reason: str) -> None:
         """The connection was closed."""
--- a/havendyke/net/wire_reports.py
+++ b/havendyke/net/wire_reports.py
@@ -18,6 +18,7 @@
 SERVER_REPORT = b"LOAD"
 SLICE_REPORT = b"SHARD"
 MAX_QUOTED_KIND_CHARS = 40
+MAX_LOAD_CHARS = 4096
 # Metrics of a server: names on the wire and fields of `ServerLoad`.
 LOAD_FIELDS = {
     "util": "cpu_share",
@@ -33,8 +34,11 @@
     """Parses a server's own load from a collector's report or the response to a health check.
 
     Collectors write `inflight:7,util:0.61`, servers `TEXT inflight=7, queue=2`. Unknown names are
-    ignored. Raises `FieldError` for a value that is not from 0 to `maximum`.
+    ignored. Raises `FieldError` for a value that is not from 0 to `maximum`, and for a text that is
+    too long.
     """
+    if len(text) > MAX_LOAD_CHARS:
+        raise FieldError(f"a server's load is longer than {MAX_LOAD_CHARS} characters")
     text = text.strip().removeprefix("TEXT ")
     load = {}
     for pair in text.split(","):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -163,6 +163,12 @@
     def get_write_buffer_size(self):
         return 0
 
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
 
 def connect_client(assigner):
     client = assigner.collectors.accept()
