Clients: parts of unfinished messages take no memory; heads and answers have totals

Cause: the buffers have a budget, but the parser kept a tuple of 120 bytes for each part of an unfinished message, up to 170,000 a client.

Change: a message has 64 parts at most (a report has 15). A longer one is skipped as it arrives and rejected alone; 64 parts a call, so that it takes no long turn. The lines of an HTTP head, 1.6 MB for each health check before, are limited to 16 KiB together, and a client's unread answers to 8 KiB.

The reference parsers of the fuzz targets have the same two limits.

--- a/fuzz/reference.py
+++ b/fuzz/reference.py
@@ -11,7 +11,10 @@
 MAX_HEADER_LINES = 100  # of one response, including interim responses and trailers
 
 
-def resp(data: bytes, max_message_bytes: int):
+SKIPPED = "skipped"  # in place of a message with too many parts
+
+
+def resp(data: bytes, max_message_bytes: int, max_parts: int):
     """RESP2 arrays of bulk strings. An element of another type is None; the elements of a nested
     array are appended to those of the outer one."""
     found, position = [], 0
@@ -55,7 +58,7 @@
             elif type_byte != b"*":
                 parts.append(None)
             first = False
-        found.append(parts)
+        found.append(parts if len(parts) <= max_parts else SKIPPED)
 
 
 def lines(data: bytes, max_line_bytes: int):
@@ -78,7 +81,7 @@
 
 def response(data: bytes, max_line_bytes: int):
     """One HTTP/1.1 response: status, body so far and verdict."""
-    position, status, body, line_count = 0, 0, b"", 0
+    position, status, body, line_count, header_bytes = 0, 0, b"", 0, 0
 
     def read_line():
         nonlocal position
@@ -90,10 +93,11 @@
         line, position = data[position:end], end + 1
         return line.rstrip(b"\r")
 
-    def count_line():
-        nonlocal line_count
+    def count_line(text):
+        nonlocal line_count, header_bytes
         line_count += 1
-        if line_count > MAX_HEADER_LINES:
+        header_bytes += len(text)
+        if line_count > MAX_HEADER_LINES or header_bytes > max_line_bytes:
             raise Malformed
 
     try:
@@ -103,7 +107,7 @@
                 raise Malformed
             status, fields = int(status_line[1]), []
             while text := read_line():
-                count_line()
+                count_line(text)
                 if text[:1] in b" \t":
                     if not fields:
                         raise Malformed
@@ -114,7 +118,7 @@
                     raise Malformed
                 fields.append([name.strip().lower(), value.strip()])
             if status < 200:
-                count_line()
+                count_line(b"")
         codings = {value.strip().lower() for name, value in fields if name == b"transfer-encoding"}
         lengths = {value.strip() for name, value in fields if name == b"content-length"}
         if codings:
@@ -133,8 +137,8 @@
                     raise Incomplete
                 if read_line():
                     raise Malformed
-            while read_line():
-                count_line()
+            while text := read_line():
+                count_line(text)
             return status, body, "done"
         if lengths or status in (204, 304):
             values = lengths or {b"0"}
--- a/fuzz/targets/streams.py
+++ b/fuzz/targets/streams.py
@@ -5,13 +5,14 @@
 from havendyke.net.buffer import Buffer, BufferBudget, MessageTooLongError
 from havendyke.net.http import ResponseParser
 from havendyke.net.json_lines import LineParser
-from havendyke.net.resp import RespParser, encode
+from havendyke.net.resp import MessageSkippedError, RespParser, encode
 
 from .. import reference
 from ..draw import Draw
 from ..registry import check, register
 
 MAX_MESSAGE_BYTES, MIN_BUFFER_BYTES, MAX_HEADER_LINE_BYTES = 600, 16, 200
+MAX_MESSAGE_PARTS = 20
 MAX_EXHAUSTIVE_BYTES = 160  # longer inputs are split at drawn positions, not at every one
 # Bounds on the work of a parser, which must be linear in the bytes, chunks and messages
 MAX_STEPS_PER_BYTE = 12
@@ -58,6 +59,25 @@
         return (self.response.status if body_started else 0, self.body), verdict
 
 
+def complete_messages(parser):
+    while True:
+        try:
+            item = parser.next()
+        except MessageSkippedError:
+            yield reference.SKIPPED
+            continue
+        if isinstance(item, list):
+            yield [None if i is None else bytes(i) for i in item]
+        elif item is not None:
+            yield bytes(item)
+        elif not getattr(parser, "is_behind", False):
+            return
+
+
+def make_resp_parser(buffer, max_message_bytes):
+    return RespParser(buffer, max_message_bytes, MAX_MESSAGE_PARTS)
+
+
 def parse_chunks(make_parser, data: bytes, cuts):
     """Parses the bytes in the given chunks; returns the messages and the verdict."""
     buffer, messages, verdict = (
@@ -79,12 +99,7 @@
                 free_space[:count] = chunk[:count]
                 buffer.end += count
                 fed_bytes, chunk, chunks = fed_bytes + count, chunk[count:], chunks + 1
-                while (item := parser.next()) is not None:
-                    messages.append(
-                        [None if i is None else bytes(i) for i in item]
-                        if isinstance(item, list)
-                        else bytes(item)
-                    )
+                messages += complete_messages(parser)
                 check(
                     len(buffer.data) <= max(2 * MIN_BUFFER_BYTES, 2 * fed_bytes + MIN_BUFFER_BYTES),
                     "a buffer of",
@@ -150,6 +165,9 @@
     encode("x" * 586) * 2,
     b"*1\r\n" * 30 + b"$1\r\na\r\n",
     b"*12\r\n" + b"+\r\n" * 12,
+    b"*21\r\n" + b"+\r\n" * 21 + encode("PING"),
+    b"*20\r\n" + b"$1\r\na\r\n" * 19 + b"*2\r\n" * 3 + b"+\r\n" * 4 + encode("PING"),
+    b"*90\r\n" + b"$1\r\na\r\n" * 90,
     b"GET / HTTP/1.1\r\n\r\n",
 ]
 
@@ -174,7 +192,8 @@
     ),
 )
 def resp(data):
-    check_all_splits(RespParser, reference.resp(data, MAX_MESSAGE_BYTES), data, data[-12:])
+    expected = reference.resp(data, MAX_MESSAGE_BYTES, MAX_MESSAGE_PARTS)
+    check_all_splits(make_resp_parser, expected, data, data[-12:])
 
 
 LINE_SEEDS = [
--- a/havendyke/config/limits.py
+++ b/havendyke/config/limits.py
@@ -60,7 +60,7 @@
     # One turn of a connection whose input has arrived; then all others have theirs.
     max_turn_ms: ClassVar[float] = 2.0
     max_messages_per_turn: ClassVar[int] = 64
-    # One line of an HTTP head; also the body of the response to a health check.
+    # All lines of an HTTP head; also the body of the response to a health check.
     max_header_bytes: int = 1 << 14
 
     # Outgoing connections and clients.
@@ -71,8 +71,12 @@
     identify_timeout_ms: float = 1500.0
     # One message of a client that has not named its zone.
     max_unidentified_message_bytes: int = 1 << 12
+    # Parts of one message; reports have 15 at most.
+    max_message_parts: ClassVar[int] = 64
     # Initial buffer of a client's connection.
     initial_client_buffer_bytes: int = 1 << 12
+    # Answers that a client has not read yet.
+    max_client_write_buffer_bytes: ClassVar[int] = 1 << 13
     # One turn of a client; those of `max_clients` together take a tenth of a second.
     max_client_turn_ms: ClassVar[float] = 0.1
     # Time for which a closing connection lingers, so that the peer can read our last message.
@@ -192,7 +196,7 @@
         return ConnectionLimits(
             initial_buffer_bytes=self.initial_client_buffer_bytes,
             max_read_bytes=self.max_read_bytes,
-            max_write_buffer_bytes=self.max_write_buffer_bytes,
+            max_write_buffer_bytes=self.max_client_write_buffer_bytes,
             max_turn_ms=self.max_client_turn_ms,
             max_messages_per_turn=self.max_messages_per_turn,
         )
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -9,7 +9,7 @@
 from .connection import MAX_LOGGED_FIELD_CHARS, Connection
 from .event_loop import EventLoop
 from .peer_codecs import PeerCodecs
-from .resp import RespParser, encode
+from .resp import MessageSkippedError, RespParser, encode
 from .timer import Timer
 from .wire_fields import decode_text
 
@@ -44,14 +44,20 @@
     def opened(self, connection: Connection) -> None:
         """Starts the timeout for the client to name its zone."""
         limits = self._event_loop.limits
-        self._parser = RespParser(connection.buffer, limits.max_unidentified_message_bytes)
+        self._parser = RespParser(
+            connection.buffer, limits.max_unidentified_message_bytes, limits.max_message_parts
+        )
         self._identify_timer.start(limits.identify_timeout_ms)
 
     def handle_next(self, connection: Connection) -> bool:
-        """Handles the next message; returns whether one was complete."""
-        message = self._parser.next()
+        """Handles the next message; returns whether more bytes of it can be parsed, or another."""
+        try:
+            message = self._parser.next()
+        except MessageSkippedError as error:
+            self._reject_message(error)
+            return True
         if message is None:
-            return False
+            return self._parser.is_behind
         try:
             self._handle_message(message)
         except ValueError as error:
--- a/havendyke/net/http.py
+++ b/havendyke/net/http.py
@@ -56,7 +56,7 @@
     """
 
     def __init__(self, buffer: Buffer, max_line_size: int) -> None:
-        """`max_line_size`: bytes of a line of the head."""
+        """`max_line_size`: bytes of a line, and of all header lines of the response together."""
         self.state = ResponseState.STATUS_LINE
         self.status = 0
         self._buffer = buffer
@@ -64,6 +64,7 @@
         self._body_bytes_left = 0
         self._searched_bytes = 0  # bytes that were already searched for a line end
         self._header_lines = 0
+        self._header_bytes = 0
         self._headers: dict[bytes, list[bytes]] = {}
         self._last_header: bytes | None = None
 
@@ -136,7 +137,7 @@
                     raise FieldError("a chunk does not end after its size")
                 self.state = ResponseState.CHUNK_SIZE
             case ResponseState.TRAILER if line:
-                self._count_header_line()
+                self._count_header_line(line)
             case ResponseState.TRAILER:
                 self.state = ResponseState.DONE
 
@@ -151,11 +152,11 @@
 
     def _parse_head_line(self, line: bytes) -> None:
         if line:
-            self._count_header_line()
+            self._count_header_line(line)
             self._parse_header(line)
         elif self.status < STATUS_OK:
             # Another head follows an interim response.
-            self._count_header_line()
+            self._count_header_line(line)
             self.state = ResponseState.STATUS_LINE
         else:
             self._choose_framing()
@@ -173,10 +174,13 @@
         self._last_header = name.strip().lower()
         self._headers.setdefault(self._last_header, []).append(value.strip())
 
-    def _count_header_line(self) -> None:
+    def _count_header_line(self, line: bytes) -> None:
         self._header_lines += 1
+        self._header_bytes += len(line)
         if self._header_lines > MAX_HEADER_LINES:
             raise MessageTooLongError(f"more than {MAX_HEADER_LINES} header lines")
+        if self._header_bytes > self._max_line_size:
+            raise MessageTooLongError(f"a head is longer than {self._max_line_size} bytes")
 
     def _choose_framing(self) -> None:
         """Determines how the body ends; contradictory headers are an error."""
--- a/havendyke/net/resp.py
+++ b/havendyke/net/resp.py
@@ -1,5 +1,6 @@
 """Incremental, zero-copy parser of RESP2 arrays of bulk strings, independent of sockets."""
 
+from ..config import Limits
 from ..fields import FieldError
 from .buffer import Buffer, MessageTooLongError
 
@@ -9,34 +10,54 @@
 ARRAY, BULK_STRING = ord("*"), ord("$")
 
 
+class MessageSkippedError(FieldError):
+    """A message had too many parts. It was skipped, and the next one can be parsed."""
+
+
 class RespParser:
     """Splits the bytes of one connection into messages.
 
-    The result does not depend on how the bytes are divided into reads.
+    The result does not depend on how the bytes are divided into reads. A message with more than
+    `max_parts` parts is skipped, and takes neither memory nor space in the buffer.
     """
 
-    def __init__(self, buffer: Buffer, max_message_bytes: int) -> None:
+    def __init__(
+        self, buffer: Buffer, max_message_bytes: int, max_parts: int = Limits.max_message_parts
+    ) -> None:
         """Starts at the beginning of the buffer."""
         self.buffer = buffer
         self.max_message_bytes = max_message_bytes
-        self._offset = 0  # from the start of the message
+        # Whether `next` returned None with bytes left to parse, to limit the time of the call.
+        self.is_behind = False
+        self._max_parts = max_parts
+        self._offset = 0  # from the start of the message in the buffer
         self._parts_left = -1  # negative between messages
         # Start and end offset of each part; None for a part that is not a bulk string.
         self._parts: list[tuple[int, int] | None] = []
+        self._skipped_bytes = 0  # of the present message
+        self._skipped_in_call = 0
+        self._skipping = False
 
     def next(self) -> list[memoryview | None] | None:
-        """The parts of the next message, or None if none is complete.
+        """The parts of the next message, or None if none is complete or `is_behind` is set.
 
         A part that is not a bulk string is None. The views are valid until the buffer receives
-        more. Raises `FieldError` or `MessageTooLongError` if the stream cannot be parsed further.
+        more. Raises `MessageSkippedError` after a skipped message, `FieldError` or
+        `MessageTooLongError` if the stream cannot be parsed further.
         """
+        self.is_behind = False
         if self._parts_left < 0 and not self._begin_message():
             return None
         while self._parts_left:
             if not self._parse_part():
                 return None
+            if self._skipping and self._skip_part():
+                return None
         view, start = memoryview(self.buffer.data), self.buffer.start
         self._parts_left, self.buffer.start = -1, start + self._offset
+        if self._skipping:
+            self._skipping, self._skipped_bytes, self._skipped_in_call = False, 0, 0
+            raise MessageSkippedError(f"a message has more than {self._max_parts} parts")
         return [part and view[start + part[0] : start + part[1]] for part in self._parts]
 
     def _begin_message(self) -> bool:
@@ -48,9 +69,22 @@
         length_line = self._parse_length_line()
         if length_line is None:
             return False
+        self._parts_left = 0
         self._parts_left = self._array_size(length_line[1])
         return True
 
+    def _skip_part(self) -> bool:
+        """Forgets the part just parsed; returns whether the call has taken long enough."""
+        self._parts = []
+        self.buffer.start += self._offset
+        self._skipped_bytes += self._offset
+        self._offset = 0
+        self._skipped_in_call += 1
+        self.is_behind = self._skipped_in_call >= self._max_parts and self._parts_left > 0
+        if self.is_behind:
+            self._skipped_in_call = 0
+        return self.is_behind
+
     def _parse_length_line(self) -> tuple[int, bytearray] | None:
         """The type and the digits of the next line, or None if it is incomplete."""
         data, start = self.buffer.data, self.buffer.start + self._offset
@@ -75,10 +109,12 @@
         return int(digits)
 
     def _array_size(self, digits: bytearray) -> int:
-        count = self._length(digits)
+        count = max(self._length(digits), 0)
         if count > self.max_message_bytes // MIN_PART_BYTES:
             raise MessageTooLongError(f"an array has {count} parts")
-        return max(count, 0)
+        if len(self._parts) + self._parts_left + count > self._max_parts:
+            self._skipping = True
+        return count
 
     def _parse_part(self) -> bool:
         """Parses one part; returns whether it is complete."""
@@ -87,7 +123,7 @@
             return False
         part_type, digits = length_line
         size = self._length(digits) if part_type == BULK_STRING else -1
-        if self._offset + max(size, 0) + 2 > self.max_message_bytes:
+        if self._skipped_bytes + self._offset + max(size, 0) + 2 > self.max_message_bytes:
             raise MessageTooLongError(f"a message is longer than {self.max_message_bytes} bytes")
         # A part of another type invalidates only its message, as the part's end is known.
         if part_type == ARRAY:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -186,7 +186,9 @@
             free_space[:count] = part[:count]
             buffer.end += count
             part = part[count:]
-            while (item := parser.next()) is not None:
+            while (item := parser.next()) is not None or getattr(parser, "is_behind", False):
+                if item is None:
+                    continue
                 items.append(
                     [bytes(i) for i in item]
                     if isinstance(item, list)
--- a/tests/net/test_collectors.py
+++ b/tests/net/test_collectors.py
@@ -228,3 +228,15 @@
     padding = "x" * (2 * event_loop.limits.max_unidentified_message_bytes)
     feed(collector, encode("SOURCE", "az", "a") + encode(*LOAD, "padding", padding))
     assert len(take_pending_events(assigner, core.ServerLoadReport)) == 1 and not collector.ended
+
+
+def test_a_message_of_very_many_parts_is_rejected_alone():
+    assigner, event_loop = make_assigner()
+    collector, stranger = connect_client(suspend_reconciliation(assigner)), connect_client(assigner)
+    many = encode(*["x"] * 500)
+    feed(collector, encode("SOURCE", "az", "a") + many + encode("PING"))
+    feed(stranger, many)
+    event_loop.run()
+    assert event_loop.counters["bad_reports"] == 1 and not collector.ended
+    assert collector.transport.written == encode("PONG")
+    assert stranger.ended and stranger.transport.written == encode("NACK")
--- a/tests/net/test_crossing_callers.py
+++ b/tests/net/test_crossing_callers.py
@@ -1,7 +1,10 @@
 """Collectors, unidentified clients and health checks that cross the end of a connection, a flood or
 a restart, on loopback sockets."""
 
+import contextlib
+import select
 import socket
+import threading
 import time
 
 import pytest
@@ -112,6 +115,91 @@
         assert deployment.wait_for_event("endpoint_list", version=rev) and deployment.ping(client)
 
 
+def wait_until_idle(deployment):
+    """Waits until the assigner has read what it was sent."""
+    deadline = time.monotonic() + 60
+    before_s, now_s = -1.0, 0.0
+    while now_s - before_s > 0.05:
+        assert time.monotonic() < deadline
+        time.sleep(0.3)
+        before_s, now_s = now_s, deployment.counters()["cpu_s"]
+
+
+MEMORY_LIMIT_MB = 96
+
+
+# Guards against a process that is killed for its memory: hundreds of clients stopped half way
+# through large messages, and each part of those was kept at twenty times its bytes.
+@pytest.mark.parametrize(
+    "unfinished",
+    [b"*150000\r\n" + b"$1\r\nx\r\n" * 12_000, b"*2\r\n$4\r\nLOAD\r\n$900000\r\n" + b"x" * 300_000],
+    ids=["many short parts", "one long part"],
+)
+def test_unfinished_messages_of_many_clients_stay_within_the_memory_limit(deployment, unfinished):
+    deployment.start(limits={"memory_mb": MEMORY_LIMIT_MB, "sockets": 1024})
+    deployment.serve_endpoint_list("s1")
+    deployment.wait_for_event("endpoint_list")
+    for _ in range(120):
+        client = deployment.connect()
+        client.socket.settimeout(10)
+        # The connection is closed where the budget of the buffers is used up.
+        with contextlib.suppress(OSError):
+            client.send(SOURCE + unfinished)
+    wait_until_idle(deployment)
+    assert deployment.ping()
+    assert deployment.counters()["memory_max_mb"] < MEMORY_LIMIT_MB
+
+
+MAX_ANSWER_S = 1.0
+
+
+# Guards against late answers: one client's messages were all handled before any other client's.
+@pytest.mark.parametrize(
+    "flood",
+    [
+        b"*149000\r\n" + b"$1\r\nx\r\n" * 149_000,
+        resp_command("LOAD", "report", "x" * 1_000_000) + resp_command("PING") * 70_000,
+    ],
+    ids=["many short parts", "small messages behind a large one"],
+)
+def test_a_client_that_sends_without_pause_does_not_keep_others_waiting(deployment, flood):
+    deployment.start()
+    flooding, client = deployment.connect(), deployment.connect()
+    flooding.send(SOURCE)
+    client.send(SOURCE)
+    with flood_from(flooding.socket, flood):
+        end_s = time.monotonic() + 4.0
+        while time.monotonic() < end_s:
+            start_s = time.monotonic()
+            assert deployment.ping(client)
+            assert time.monotonic() - start_s < MAX_ANSWER_S
+            time.sleep(0.02)
+
+
+@contextlib.contextmanager
+def flood_from(sock, data):
+    """Sends the data again and again from a thread, and discards the answers."""
+    stopped = threading.Event()
+
+    def flood():
+        unsent = memoryview(data)
+        while not stopped.is_set():
+            readable, writable, _ = select.select([sock], [sock], [], 0.1)
+            if readable:
+                sock.recv(1 << 16)
+            if writable:
+                unsent = unsent[sock.send(unsent) :] or memoryview(data)
+
+    sock.setblocking(False)
+    thread = threading.Thread(target=flood)
+    thread.start()
+    try:
+        yield
+    finally:
+        stopped.set()
+        thread.join()
+
+
 # Health checks.
 
 
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -95,3 +95,20 @@
     with pytest.raises((FieldError, MessageTooLongError)):
         while parser.next() is not None:
             pass
+
+
+# Guards against more memory than the limit: a hundred lines of 16 KiB each were kept for every
+# health check that runs.
+def test_the_lines_of_a_head_are_limited_together():
+    line = b"X-Header: " + b"v" * 90 + b"\r\n"
+    head = b"HTTP/1.1 200 OK\r\n"
+    accepted, rejected = head + line * 9, head + line * 11
+    assert parse(accepted, 1000) is None
+    with pytest.raises(MessageTooLongError):
+        parse(rejected, 1000)
+
+
+def parse(data, max_line_size):
+    buffer = Buffer(16, 1 << 16)
+    buffer.append(data)
+    return ResponseParser(buffer, max_line_size).next()
