Relay watch: what only a lost stream reported is gone only after the other's ping

Callers could see two owners of a slice: where one of the two streams broke, a proxy that only it had reported counted as disconnected until the other stream, which may lag behind, reported it.

Change: such a proxy stays connected and unconfirmed until the remaining stream's next ping, which the relay sends after all that came before; reported by then, it counts as resynchronised.

--- a/havendyke/net/proxy_sessions.py
+++ b/havendyke/net/proxy_sessions.py
@@ -60,10 +60,19 @@
                 )
             )
 
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether proxies are reported as connected that no present stream has reported."""
+        return bool(self._unconfirmed)
+
     def is_unconfirmed(self, proxy_id: int) -> bool:
-        """Whether a proxy was connected before a gap and no stream has reported it since."""
+        """Whether only lost streams have reported a proxy as connected."""
         return proxy_id in self._unconfirmed
 
+    def mark_unconfirmed(self, proxy_id: int) -> None:
+        """The stream that reported a proxy as connected was lost."""
+        self._unconfirmed.add(proxy_id)
+
     def end_gap(self, subscriptions: Mapping[int, Subscription]) -> None:
         """Reports the state of the connected proxies after notifications were missed.
 
--- a/havendyke/net/relay_stream.py
+++ b/havendyke/net/relay_stream.py
@@ -64,8 +64,8 @@
     def tables_received(self, stream: "RelayStream", tables: Tables) -> None:
         """No further entry of these tables has arrived for a while on a watch."""
 
-    def state_completed(self, stream: "RelayStream") -> None:
-        """A synchronised watch has received the complete present state."""
+    def pinged(self, stream: "RelayStream") -> None:
+        """A synchronised watch has received everything that the relay sent before a ping."""
 
     def snapshot_received(self, stream: "RelayStream", snapshot: Snapshot) -> None:
         """A snapshot is complete, or nothing further has arrived for a while."""
@@ -164,17 +164,15 @@
         elif kind is not NotificationType.PING:
             self._handle_notification(kind, message)
         elif self.state is not StreamState.REQUESTED:
-            self._complete_state()
+            self._pinged()
 
-    def _complete_state(self) -> None:
+    def _pinged(self) -> None:
         """The relay sends a ping only after the present state."""
+        self.has_complete_state = True
         if not self.is_watch:
             self._report_snapshot(complete=True)
-            return
-        is_first = not self.has_complete_state
-        self.has_complete_state = True
-        if is_first and self.is_synchronised:
-            self._owner.state_completed(self)
+        elif self.is_synchronised:
+            self._owner.pinged(self)
 
     def _handle_acknowledgement(self, message: dict[str, Any]) -> None:
         try:
--- a/havendyke/net/relay_watch.py
+++ b/havendyke/net/relay_watch.py
@@ -120,10 +120,11 @@
             if not self._snapshot_streams:
                 self._open_snapshot_stream()
 
-    def state_completed(self, stream: RelayStream) -> None:
-        """A synchronised stream has received the complete present state."""
-        self._report_departed(stream)
-        self._calls.send_next()
+    def pinged(self, stream: RelayStream) -> None:
+        """A synchronised stream has received everything that the relay sent before a ping."""
+        if self.proxies.has_unconfirmed or self.slices.has_unconfirmed:
+            self._report_departed(stream)
+            self._calls.send_next()
 
     def snapshot_received(self, stream: RelayStream, snapshot: Snapshot) -> None:
         """A snapshot stream has received tables."""
@@ -213,7 +214,13 @@
     def _align_proxy(self, proxy_id: int, stream: RelayStream) -> None:
         """Sets the reported state of a proxy to this stream's."""
         reported = self.proxies.generation(proxy_id)
-        stream.proxies[proxy_id] = aligned_from(reported, stream.proxies.get(proxy_id, 0))
+        seen = stream.proxies.get(proxy_id, 0)
+        if is_present(reported) and seen < reported and not is_present(seen):
+            # Only a lost stream has reported that the proxy connected; this one may lag behind.
+            stream.proxies.pop(proxy_id, None)
+            self.proxies.mark_unconfirmed(proxy_id)
+            return
+        stream.proxies[proxy_id] = aligned_from(reported, seen)
         stream.report_proxy(proxy_id)
 
     def _align_slices(self, stream: RelayStream) -> None:
