--- a/havendyke/net/connection.py
+++ b/havendyke/net/connection.py
@@ -29,10 +29,9 @@
         """Called once the connection is established."""
 
     def handle_next(self, connection: Any) -> bool:
-        """Handles the next message, or a part of it; returns whether to be called again.
+        """Handles the next message, or a part of it, and no more; returns whether it did.
 
-        False where the connection's buffer must receive more bytes first. Each call takes a time
-        that does not grow with the bytes received.
+        False where the connection's buffer must receive more bytes first.
         """
 
     def closed(self, connection: Any, reason: str) -> None:
@@ -145,7 +144,7 @@
             self.transport.resume_reading()
 
     def _handle_messages(self, end_ms: float) -> bool:
-        """Handles messages until none is complete or time is up; returns whether it is."""
+        """Handles messages until none is complete or the turn is over; returns whether it is."""
         for _ in range(self.limits.max_messages_per_turn):
             if not self.peer.handle_next(self) or self.ended:
                 return False
--- a/havendyke/net/relay_watch.py
+++ b/havendyke/net/relay_watch.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from .. import interface as core
 from ..registry import ObjectRegistry
@@ -17,20 +16,10 @@
 from .published_tables import Tables
 from .relay_stream import RelayStream, StreamPurpose, StreamState
 from .slice_assignments import CallTracker, SliceAssignments
-from .snapshots import Snapshot
+from .snapshots import Snapshot, SnapshotCallback, SnapshotRequests
 from .timer import Backoff
 from .wire_relay import Acknowledgement, RelayCodec
 
-# Returns False if the snapshot does not suffice because it is incomplete.
-SnapshotCallback = Callable[[Snapshot], bool]
-
-
-class SnapshotRequest(NamedTuple):
-    """A request for the tables as they are at `since_ms` or later."""
-
-    since_ms: float
-    callback: SnapshotCallback
-
 
 class RelayWatch:
     """Opens and replaces streams, and merges what they report."""
@@ -52,7 +41,7 @@
         self.proxies = ProxySessions(event_loop, registry, notify)
         self.slices = SliceAssignments(event_loop, registry, notify, calls, self.request_snapshot)
         self.streams: list[RelayStream] = []
-        self._snapshot_requests: list[SnapshotRequest] = []
+        self._snapshot_requests = SnapshotRequests()
         self._snapshot_streams: list[RelayStream] = []
         self._last_request_id = 0
         # Changes may have been missed, because all synchronised streams were lost.
@@ -102,7 +91,7 @@
 
     def request_snapshot(self, callback: SnapshotCallback) -> None:
         """Calls `callback` with snapshots of now or later, until one suffices."""
-        self._snapshot_requests.append(SnapshotRequest(self.event_loop.now(), callback))
+        self._snapshot_requests.add(self.event_loop.now(), callback)
         self._open_snapshot_stream()
 
     def acknowledged(self, proxy_id: int, acknowledgement: Acknowledgement) -> None:
@@ -116,7 +105,8 @@
             self._apply_tables(stream, tables, None)
         else:
             self._synchronise(stream, tables)
-            self._answer_snapshot_requests(stream, Snapshot(tables, complete=False))
+            snapshot = Snapshot(tables, complete=False)
+            self._snapshot_requests.answer(stream.requested_ms, snapshot)
             if not self._snapshot_streams:
                 self._open_snapshot_stream()
 
@@ -128,8 +118,8 @@
 
     def snapshot_received(self, stream: RelayStream, snapshot: Snapshot) -> None:
         """A snapshot stream has received tables."""
-        self._answer_snapshot_requests(stream, snapshot)
-        if not any(r.since_ms <= stream.requested_ms for r in self._snapshot_requests):
+        self._snapshot_requests.answer(stream.requested_ms, snapshot)
+        if not self._snapshot_requests.can_be_answered(stream.requested_ms):
             stream.close(CloseReason.DONE)
 
     def stream_closed(self, stream: RelayStream, reason: str) -> None:
@@ -176,14 +166,6 @@
         else:
             self._snapshot_streams.append(stream)
 
-    def _answer_snapshot_requests(self, stream: RelayStream, snapshot: Snapshot) -> None:
-        """Answers the requests made before the stream requested the present state."""
-        requests = self._snapshot_requests
-        self._snapshot_requests = [r for r in requests if r.since_ms > stream.requested_ms]
-        for request in [r for r in requests if r.since_ms <= stream.requested_ms]:
-            if not request.callback(snapshot):
-                self._snapshot_requests.append(request)
-
     def _synchronised_stream_lost(self, stream: RelayStream, reason: str) -> None:
         if not self._is_covered_by_another(stream):
             # Acknowledgements that only the lost stream would have carried are never repeated, and
--- a/havendyke/net/slice_assignments.py
+++ b/havendyke/net/slice_assignments.py
@@ -8,9 +8,9 @@
 from .event_loop import EventLoop
 from .generations import is_present, next_absent
 from .published_tables import Table, Tables, restore_precision, tables_match
-from .snapshots import Snapshot
+from .snapshots import Snapshot, SnapshotCallback
 
-RequestSnapshot = Callable[[Callable[[Snapshot], bool]], None]
+RequestSnapshot = Callable[[SnapshotCallback], None]
 
 
 class CallTracker(Protocol):
--- a/havendyke/net/snapshots.py
+++ b/havendyke/net/snapshots.py
@@ -1,6 +1,6 @@
 """Snapshots of the published tables, and what they tell about a call with unknown outcome."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import NamedTuple
@@ -17,6 +17,45 @@
     complete: bool
 
 
+# Returns False if the snapshot does not suffice because it is incomplete.
+SnapshotCallback = Callable[[Snapshot], bool]
+
+
+class SnapshotRequest(NamedTuple):
+    """A request for the tables as they are at `since_ms` or later."""
+
+    since_ms: float
+    callback: SnapshotCallback
+
+
+class SnapshotRequests:
+    """The requests that no snapshot has satisfied yet, oldest first."""
+
+    def __init__(self) -> None:
+        """There is no request initially."""
+        self._requests: list[SnapshotRequest] = []
+
+    def __bool__(self) -> bool:
+        """Whether there is a request."""
+        return bool(self._requests)
+
+    def add(self, since_ms: float, callback: SnapshotCallback) -> None:
+        """Adds a request for the tables as they are at `since_ms` or later."""
+        self._requests.append(SnapshotRequest(since_ms, callback))
+
+    def can_be_answered(self, requested_ms: float) -> bool:
+        """Whether a stream that requested the tables at `requested_ms` can satisfy a request."""
+        return any(request.since_ms <= requested_ms for request in self._requests)
+
+    def answer(self, requested_ms: float, snapshot: Snapshot) -> None:
+        """Passes on a snapshot that was requested at `requested_ms`."""
+        answerable = [r for r in self._requests if r.since_ms <= requested_ms]
+        self._requests = [r for r in self._requests if r.since_ms > requested_ms]
+        for request in answerable:
+            if not request.callback(snapshot):
+                self._requests.append(request)
+
+
 class TableChange(NamedTuple):
     """A table before a call and after it."""
 
