Connections: a turn that comes after the end of its connection asks no closed socket

Operators would see an event `failure` and a counter of it: where the write of an answer failed within a turn, asyncio closed the socket before the turn that was scheduled after it, and that turn asked the socket for its error. No other connection was touched. The turn checks first whether the connection has ended.

--- a/havendyke/net/connection.py
+++ b/havendyke/net/connection.py
@@ -216,6 +216,8 @@
 
     def _close_if_reset(self) -> None:
         """Closes a connection that has failed; the kernel still delivers what it had received."""
+        if self.ended:
+            return  # its socket may be closed already
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if sock is not None else 0
         if error:
--- a/tests/net/test_connection_turns.py
+++ b/tests/net/test_connection_turns.py
@@ -1,5 +1,7 @@
 """What the bytes of one peer may cost in one turn of the event loop."""
 
+import socket
+
 import pytest
 from helpers import StubTransport, connect_client, make_assigner, suspend_reconciliation
 
@@ -87,6 +89,19 @@
     assert answers(flooding) < 80 and "reports_load" not in event_loop.counters
 
 
+# Guards against a failure of our own: a write that fails within a turn ends the connection before
+# the turn that was scheduled after it.
+def test_a_turn_of_a_connection_whose_socket_is_closed_does_nothing(clients, monkeypatch):
+    event_loop, flooding, _ = clients
+    receive(flooding, SOURCE + PING * 80)
+    closed = socket.socket()
+    closed.close()
+    monkeypatch.setattr(flooding.transport, "get_extra_info", lambda name: closed)
+    flooding.connection_lost(BrokenPipeError())
+    event_loop.run()
+    assert flooding.ended and answers(flooding) < 80
+
+
 def test_nothing_more_is_read_than_one_turn_may_look_through(clients):
     event_loop, client, _ = clients
     receive(client, SOURCE)
