Proxy sessions, limits: what stood twice stands once; three docstrings say what is meant

ProxyConnected and ProxyResynchronised are reported by one function; the limits of a client's connection are those of an outgoing one but for three fields. Docstrings of excerpt, of the collectors' handle_next and of the simulated transport were unclear or claimed too much.

--- a/havendyke/config/limits.py
+++ b/havendyke/config/limits.py
@@ -1,7 +1,7 @@
 """Limits of the protocols, and the part of them that the configuration sets."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import cached_property
 from typing import Any, ClassVar
 
@@ -193,12 +193,11 @@
     @cached_property
     def client_connection(self) -> ConnectionLimits:
         """The limits of a client's connection."""
-        return ConnectionLimits(
+        return replace(
+            self.outgoing_connection,
             initial_buffer_bytes=self.initial_client_buffer_bytes,
-            max_read_bytes=self.max_read_bytes,
             max_write_buffer_bytes=self.max_client_write_buffer_bytes,
             max_turn_ms=self.max_client_turn_ms,
-            max_messages_per_turn=self.max_messages_per_turn,
         )
 
 
--- a/havendyke/fields.py
+++ b/havendyke/fields.py
@@ -26,14 +26,17 @@
 
 
 def excerpt(message: object) -> str:
-    """The start of a message's `repr`, for error messages; the rest costs no time."""
+    """The start of a message's `repr`, for error messages.
+
+    Of a long text, or a long text in an object, only the start is looked at.
+    """
     if isinstance(message, dict):
         items = islice(message.items(), MAX_MESSAGE_LENGTH)
-        message = {_start(key): _start(value) for key, value in items}
-    return repr(_start(message))[:MAX_MESSAGE_LENGTH]
+        message = {_shortened(key): _shortened(value) for key, value in items}
+    return repr(_shortened(message))[:MAX_MESSAGE_LENGTH]
 
 
-def _start(value: object) -> object:
+def _shortened(value: object) -> object:
     return value[:MAX_MESSAGE_LENGTH] if isinstance(value, str) else value
 
 
--- a/havendyke/lab/event_loop.py
+++ b/havendyke/lab/event_loop.py
@@ -45,7 +45,7 @@
         """There is no socket."""
 
     def pause_reading(self):
-        """Has `feed` run the event loop before it delivers more."""
+        """Has `feed` wait until what was delivered is handled."""
         self.paused = True
 
     def resume_reading(self):
--- a/havendyke/net/collectors.py
+++ b/havendyke/net/collectors.py
@@ -50,7 +50,7 @@
         self._identify_timer.start(limits.identify_timeout_ms)
 
     def handle_next(self, connection: Connection) -> bool:
-        """Handles the next message; returns whether more bytes of it can be parsed, or another."""
+        """Handles the next message, or skips a part of one; returns whether it did."""
         try:
             message = self._parser.next()
         except MessageSkippedError as error:
--- a/havendyke/net/proxy_sessions.py
+++ b/havendyke/net/proxy_sessions.py
@@ -50,15 +50,7 @@
         if is_present(reported):
             self._notify(core.ProxyDisconnected(self._registry.proxy(proxy_id)))
         if is_present(generation) and subscription is not None:
-            self.last_connected_ms = self._event_loop.now()
-            self._notify(
-                core.ProxyConnected(
-                    self._registry.proxy(proxy_id),
-                    subscription.zone,
-                    subscription.request_rate,
-                    subscription.first_connection,
-                )
-            )
+            self._report_connected(core.ProxyConnected, proxy_id, subscription)
 
     @property
     def has_unconfirmed(self) -> bool:
@@ -91,9 +83,17 @@
     def _resynchronise(self, proxy_id: int, subscription: Subscription) -> None:
         # The acknowledgement last reported may be repeated on request.
         self._acknowledged.pop(proxy_id, None)
+        self._report_connected(core.ProxyResynchronised, proxy_id, subscription)
+
+    def _report_connected(
+        self,
+        event_type: type[core.ProxyConnected] | type[core.ProxyResynchronised],
+        proxy_id: int,
+        subscription: Subscription,
+    ) -> None:
         self.last_connected_ms = self._event_loop.now()
         self._notify(
-            core.ProxyResynchronised(
+            event_type(
                 self._registry.proxy(proxy_id),
                 subscription.zone,
                 subscription.request_rate,
