Zone loss: servers that go on serving are not lost with the proxies of their zone

Cause: the disconnection of a zone's proxies counted as the loss of its servers, and no report on the servers was asked; they stayed marked until they would have warmed up. The log has `warming_up` 8 in the second of the last disconnection, with successes at all eight in every interval; the channel (queue share 0.04 at most) and the handovers (5.3 s) were not at fault.

Change: the sign still acts at once, since a zone that is away for 2 s is back before any report shows it. It is withdrawn by the servers' own reports: without failures, on requests that were all sent later. The reports of most of a zone's servers speak for the rest; without any failing report it ends too, once one is due. A server that failed meanwhile stays presumed restarted. A server that its reports show to serve is not lost with a zone whose other servers fail either. Reports keep their window for this.

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -1,16 +1,21 @@
 """Detects the loss of a whole zone, seconds before the endpoint list shows it.
 
-The proxies of a lost zone disconnect at once. If they stay connected, most load reports on its
-servers show failures within seconds. Servers of a lost zone restart with cold caches, and the
-endpoint list shows the restart late; until then they count as started when the zone was lost.
+Servers of a lost zone restart with cold caches, and the endpoint list shows the restart late; until
+then they count as started when the zone was lost. Two signs tell of a loss:
+
+- most load reports on the zone's servers show failures;
+- almost all proxies of the zone have disconnected. They disconnect at once, seconds before the
+  first report, but say nothing of the servers: the proxies may have lost the relay alone. This sign
+  is therefore withdrawn as soon as load reports show that the servers have served without a break,
+  and when no report has shown a failure by the time at which one must have.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..interface import Settings
-from ..state import ConnectedProxyCount, Server
+from ..state import ConnectedProxyCount, Server, ZoneLoadReport
 from .outlier_detection import OUTLIER_ERROR_RATE, RECENT_SUCCESS_INTERVALS
 
 # With fewer servers in the reports, or fewer proxies at the peak, no conclusion is drawn.
@@ -18,6 +23,10 @@
 MIN_PEAK_PROXIES = 5
 # A zone is lost if at most this share of its peak number of proxies is still connected.
 LOST_PROXY_SHARE = 0.1
+# A server whose reports show at most this share of failures has served without a break.
+SERVING_ERROR_RATE = 0.05
+# Upper bound of the time between the end of a report's window and its arrival.
+MAX_REPORT_DELAY_MS = 2_000.0
 
 
 @dataclass(slots=True)
@@ -34,12 +43,65 @@
         return self.servers >= MIN_REPORTED_SERVERS and 2 * self.failing_reports > self.reports
 
 
+@dataclass(frozen=True, slots=True)
+class LossSigns:
+    """The signs of a zone's loss that hold at one time."""
+
+    proxies_disconnected: bool = False
+    reports_failing: bool = False
+
+    def adds_to(self, earlier: "LossSigns") -> bool:
+        """Whether a sign holds that did not hold earlier."""
+        return (self.proxies_disconnected and not earlier.proxies_disconnected) or (
+            self.reports_failing and not earlier.reports_failing
+        )
+
+
+NO_SIGNS = LossSigns()
+
+
+@dataclass(slots=True)
+class SuspectedLoss:
+    """What is known of one zone since the last sign of its loss appeared."""
+
+    since_ms: float
+    last_sign_ms: float
+    signs: LossSigns
+    refuted: bool = False  # the proxies disconnected, but the servers serve
+    failed_servers: set[Server] = field(default_factory=set)
+    # The values of `zone_lost_ms` that the suspicion has replaced.
+    replaced_marks: dict[Server, float] = field(default_factory=dict)
+
+    @property
+    def indicates_loss(self) -> bool:
+        """Whether the zone counts as lost now."""
+        return self.signs.reports_failing or (self.signs.proxies_disconnected and not self.refuted)
+
+    def mark(self, server: Server, now_ms: float) -> None:
+        """Presumes that the server restarts, at the earliest now."""
+        self.replaced_marks.setdefault(server, server.zone_lost_ms)
+        server.zone_lost_ms = now_ms
+
+    def unmark(self, server: Server) -> None:
+        """Withdraws the presumption, unless an earlier one still holds."""
+        earlier_ms = self.replaced_marks.pop(server, None)
+        if earlier_ms is not None:
+            server.zone_lost_ms = earlier_ms
+
+
 class ZoneLossDetector:
     """Marks the servers of zones that are lost; writes `zone_lost_ms` of servers."""
 
     def __init__(self, settings: Settings) -> None:
         self._warm_up_ms = settings.warm_up_ms
         self._report_window_ms = RECENT_SUCCESS_INTERVALS * settings.report_interval_ms
+        longest_deadline_ms = max(c.deadline_ms for c in settings.request_classes)
+        # A request to a server that does not answer fails by its deadline at the latest, and the
+        # report on it arrives one interval and one delay later.
+        self._failure_due_ms = (
+            longest_deadline_ms + settings.report_interval_ms + MAX_REPORT_DELAY_MS
+        )
+        self._suspected: dict[int, SuspectedLoss] = {}  # by zone
 
     def mark_lost_servers(
         self,
@@ -56,39 +118,115 @@
             if server.zone >= 0
             and (server.started_ms is None or now_ms - server.started_ms >= self._warm_up_ms)
         ]
-        lost_zones = self._zones_with_lost_proxies(connected_by_zone)
-        if not overloaded:
-            lost_zones |= self._zones_with_failing_reports(candidates, now_ms)
-        lost = [server for server in candidates if server.zone in lost_zones]
+        failing_zones = (
+            set() if overloaded else self._zones_with_failing_reports(candidates, now_ms)
+        )
+        self._update_signs(_zones_with_lost_proxies(connected_by_zone), failing_zones, now_ms)
+        if self._suspected:
+            self._withdraw_refuted(candidates, now_ms)
+            self._mark(candidates, now_ms)
+
+    def _update_signs(
+        self, zones_without_proxies: set[int], failing_zones: set[int], now_ms: float
+    ) -> None:
+        """Records which signs hold; a sign that appears begins a new suspicion."""
+        for zone in self._suspected.keys() | zones_without_proxies | failing_zones:
+            signs = LossSigns(zone in zones_without_proxies, zone in failing_zones)
+            known = self._suspected.get(zone)
+            if known is None or signs.adds_to(known.signs):
+                known = self._suspected[zone] = SuspectedLoss(now_ms, now_ms, signs)
+            known.signs = signs
+            if signs != NO_SIGNS:
+                known.last_sign_ms = now_ms
+            elif known.refuted or now_ms - known.last_sign_ms >= self._warm_up_ms:
+                del self._suspected[zone]
+
+    def _withdraw_refuted(self, candidates: Iterable[Server], now_ms: float) -> None:
+        """Withdraws marks of servers that have served since the suspicion began.
+
+        The servers of a zone speak for those that no report names.
+        """
+        servers_of: dict[int, list[Server]] = defaultdict(list)
+        for server in candidates:
+            servers_of[server.zone].append(server)
+        for zone, suspected in self._suspected.items():
+            servers = servers_of[zone]
+            suspected.failed_servers.update(
+                server
+                for server in servers
+                if _fails_since(server, suspected.since_ms - self._report_window_ms)
+            )
+            serving = [server for server in servers if self._serves(server, suspected)]
+            if not suspected.signs.reports_failing:
+                suspected.refuted = suspected.refuted or self._is_refuted(
+                    suspected, len(serving), now_ms
+                )
+            for server in servers if suspected.refuted else serving:
+                if server not in suspected.failed_servers:
+                    suspected.unmark(server)
+
+    def _is_refuted(self, suspected: SuspectedLoss, serving_count: int, now_ms: float) -> bool:
+        if not suspected.failed_servers and now_ms - suspected.since_ms > self._failure_due_ms:
+            return True
+        return serving_count > len(suspected.failed_servers)
+
+    @staticmethod
+    def _serves(server: Server, suspected: SuspectedLoss) -> bool:
+        return server not in suspected.failed_servers and _serves_since(server, suspected.since_ms)
+
+    def _mark(self, candidates: Sequence[Server], now_ms: float) -> None:
+        lost = {zone: each for zone, each in self._suspected.items() if each.indicates_loss}
         # Zones that fail one after the other add up while their servers are presumed to warm up.
-        presumed_lost = [
-            server
+        presumed_lost = sum(
+            server.zone in lost or now_ms - server.zone_lost_ms < self._warm_up_ms
             for server in candidates
-            if server.zone not in lost_zones and now_ms - server.zone_lost_ms < self._warm_up_ms
-        ]
+        )
         # The loss of more than half is more likely a partition of this controller.
-        if 2 * (len(lost) + len(presumed_lost)) <= len(candidates):
-            for server in lost:
-                server.zone_lost_ms = now_ms
+        if 2 * presumed_lost > len(candidates):
+            return
+        for server in candidates:
+            suspected = lost.get(server.zone)
+            if suspected is not None and not self._serves(server, suspected):
+                suspected.mark(server, now_ms)
 
     def _zones_with_failing_reports(self, servers: Sequence[Server], now_ms: float) -> set[int]:
         zones = recent_reports_by_zone(servers, now_ms - self._report_window_ms)
         return {zone for zone, reports in zones.items() if reports.indicate_loss}
 
-    @staticmethod
-    def _zones_with_lost_proxies(connected_by_zone: dict[int, ConnectedProxyCount]) -> set[int]:
-        lost = {
-            zone
-            for zone, proxies in connected_by_zone.items()
-            if proxies.peak >= MIN_PEAK_PROXIES
-            and proxies.connected <= LOST_PROXY_SHARE * proxies.peak
-        }
-        # If most proxies of the other zones are disconnected as well, the relay has failed: zones
-        # whose proxies reconnect one after the other were not lost.
-        others = [proxies for zone, proxies in connected_by_zone.items() if zone not in lost]
-        if 2 * sum(p.connected for p in others) > sum(p.peak for p in others):
-            return lost
-        return set()
+
+def _zones_with_lost_proxies(connected_by_zone: dict[int, ConnectedProxyCount]) -> set[int]:
+    lost = {
+        zone
+        for zone, proxies in connected_by_zone.items()
+        if proxies.peak >= MIN_PEAK_PROXIES and proxies.connected <= LOST_PROXY_SHARE * proxies.peak
+    }
+    # If most proxies of the other zones are disconnected as well, the relay has failed: zones
+    # whose proxies reconnect one after the other were not lost.
+    others = [proxies for zone, proxies in connected_by_zone.items() if zone not in lost]
+    if 2 * sum(p.connected for p in others) > sum(p.peak for p in others):
+        return lost
+    return set()
+
+
+def _fails_since(server: Server, since_ms: float) -> bool:
+    """Whether a report that arrived later shows a break of the server's service."""
+    return any(
+        report.received_ms > since_ms and report.failed_share > SERVING_ERROR_RATE
+        for report in server.zone_reports.values()
+    )
+
+
+def _serves_since(server: Server, since_ms: float) -> bool:
+    """Whether a report on requests that were all sent later shows that the server serves."""
+    return any(
+        _window_start_ms(report) >= since_ms and report.failed_share <= SERVING_ERROR_RATE
+        for report in server.zone_reports.values()
+    )
+
+
+def _window_start_ms(report: ZoneLoadReport) -> float:
+    """The earliest time at which the window of a report can have begun."""
+    return report.received_ms - report.window_ms - MAX_REPORT_DELAY_MS
 
 
 def recent_reports_by_zone(
@@ -99,7 +237,7 @@
     for server in servers:
         recent = [
             report
-            for report in server.failure_reports.values()
+            for report in server.zone_reports.values()
             if report.received_ms > received_after_ms
         ]
         if recent:
--- a/havendyke/state/__init__.py
+++ b/havendyke/state/__init__.py
@@ -13,7 +13,7 @@
     WARMING_UP,
     HealthState,
     Server,
-    ZoneFailureReport,
+    ZoneLoadReport,
 )
 from .slice import Slice, slices_by_server, unreferenced_servers
 
@@ -32,7 +32,7 @@
     "PushChannel",
     "Server",
     "Slice",
-    "ZoneFailureReport",
+    "ZoneLoadReport",
     "serial_acknowledged_by",
     "connections_per_server",
     "unreferenced_servers",
--- a/havendyke/state/observed.py
+++ b/havendyke/state/observed.py
@@ -30,7 +30,7 @@
 from .proxy import ConnectedProxyCount, EjectionConfirmations, Proxy
 from .push import Push, PushChannel
 from .rendezvous import rounding_offset
-from .server import LONG_AGO_MS, NEVER_MS, Server, ZoneFailureReport
+from .server import LONG_AGO_MS, NEVER_MS, Server, ZoneLoadReport
 from .slice import Slice
 
 # Module-level alias: each reconciliation compares it for every server.
@@ -235,8 +235,8 @@
         successes = event.attempts - event.failures
         if successes > 0 and event.latency_ms > 0:
             server.latency.add(latency_position(event.latency_ms), successes)
-        server.failure_reports[event.zone] = ZoneFailureReport(
-            self.now_ms, event.failures / max(event.attempts, 1)
+        server.zone_reports[event.zone] = ZoneLoadReport(
+            self.now_ms, event.window_ms, event.failures / max(event.attempts, 1)
         )
         self._count_in_flight(server, event.load)
         for histogram in (server.attempt_outcomes, self.attempt_outcomes):
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import IntEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..interface import ServerState
 from .histogram import DecayingHistogram
@@ -38,11 +37,11 @@
 HEALTHY = HealthState.HEALTHY
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneFailureReport:
-    """A server's failures according to the last load report of one zone."""
+class ZoneLoadReport(NamedTuple):
+    """A server's failures according to the last load report of one zone's proxies."""
 
     received_ms: float
+    window_ms: float  # the length of the span that it covers, which ended before it arrived
     failed_share: float
 
 
@@ -69,7 +68,7 @@
         self.latency = DecayingHistogram(HISTOGRAM_BINS)
         self.attempt_outcomes = DecayingHistogram(2)  # bins: succeeded, failed
         self.in_flight = DecayingHistogram(HISTOGRAM_BINS)
-        self.failure_reports: dict[int, ZoneFailureReport] = {}  # by reporting zone
+        self.zone_reports: dict[int, ZoneLoadReport] = {}  # by reporting zone
         self.last_success_ms = NEVER_MS
         self.consecutive_connect_failures = 0
         self.unanswered_checks = 0
@@ -122,7 +121,7 @@
         """Discards observations of the previous process."""
         self.latency = DecayingHistogram(HISTOGRAM_BINS)
         self.attempt_outcomes = DecayingHistogram(2)
-        self.failure_reports = {}
+        self.zone_reports = {}
         self.unhealthy_until_ms = None
         self.ejection_time_ms = 0.0
         self.recovering = True
--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -250,3 +250,131 @@
         counts.append(len(harness.servers_warming_up()))
         harness.advance(2500.0)
     assert counts[0] == 4 and counts[-1] == 0
+
+
+# Proxies that disconnect while the servers serve
+
+REPORT_MS = 1000.0
+
+
+def zone_without_proxies(age_reports=0):
+    """A fleet of which zone 0's proxies have just disconnected; returns harness, zone, proxies."""
+    harness = ControllerHarness()
+    servers = harness.add_servers(12)
+    zones = connect_zones(harness)
+    for _ in range(age_reports):
+        report_serving(harness, servers)
+    harness.disconnect(*zones[0])
+    harness.evaluate_health()
+    return harness, servers_in_zone(servers, 0), zones[0]
+
+
+def report_serving(harness, servers, failing=()):
+    """The next interval's reports, which show failures of some of the servers."""
+    harness.advance(REPORT_MS)
+    for server in servers:
+        harness.report_server(server, 20, 10 if server in failing else 0)
+    harness.evaluate_health()
+
+
+def test_servers_that_go_on_serving_are_not_lost_with_the_proxies_of_their_zone():
+    # The servers counted as just started for as long as the proxies were away, and lost their
+    # slices; when the others drained, slices had no server (review/8).
+    harness, zone, _ = zone_without_proxies()
+    for _ in range(4):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == []
+    for _ in range(12):
+        report_serving(harness, zone)
+        assert harness.servers_warming_up() == []
+
+
+def test_reports_on_requests_from_before_the_proxies_disconnected_prove_nothing():
+    # The last reports of a lost zone show no failures, and arrive after its loss.
+    harness, zone, _ = zone_without_proxies(age_reports=3)
+    for _ in range(2):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == zone
+
+
+def test_a_server_that_failed_when_its_proxies_disconnected_stays_presumed_restarted():
+    # It was away for 2 s, and serves again before the endpoint list shows its restart.
+    harness, zone, proxies = zone_without_proxies()
+    report_serving(harness, zone, failing=zone)
+    for proxy in proxies:
+        harness.connect(proxy)
+    for _ in range(10):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == zone
+
+
+def test_the_serving_servers_of_a_zone_speak_for_those_without_reports():
+    harness, zone, _ = zone_without_proxies()
+    for _ in range(4):
+        report_serving(harness, zone[:2])
+    assert harness.servers_warming_up() == []
+
+
+def test_only_the_servers_that_failed_are_presumed_lost_if_most_of_their_zone_serves():
+    harness, zone, _ = zone_without_proxies()
+    for _ in range(4):
+        report_serving(harness, zone, failing=zone[:1])
+    assert [s for s in zone if harness.guaranteed_capacity(s) < s.size] == zone[:1]
+
+
+def test_a_loss_without_any_report_of_a_failure_is_withdrawn():
+    harness, zone, _ = zone_without_proxies()
+    harness.advance(8_000.0)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == zone
+    harness.advance(2_000.0)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == []
+
+
+def test_proxies_that_disconnect_again_are_a_new_sign():
+    harness, zone, proxies = zone_without_proxies()
+    for _ in range(4):
+        report_serving(harness, zone)
+    for proxy in proxies:
+        harness.connect(proxy)
+    report_serving(harness, zone)
+    harness.disconnect(*proxies)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == zone
+
+
+def test_reports_of_failures_show_a_loss_after_that_of_the_proxies_was_withdrawn():
+    harness, zone, _ = zone_without_proxies()
+    for _ in range(6):
+        report_serving(harness, zone)
+    report_serving(harness, zone, failing=zone)
+    assert all(harness.guaranteed_capacity(s) == initial_capacity(s) for s in zone)
+
+
+def test_a_withdrawn_suspicion_leaves_an_earlier_loss_of_the_zone_as_it_was():
+    harness = ControllerHarness()
+    servers = harness.add_servers(12)
+    zone, proxies = servers_in_zone(servers, 0), connect_zones(harness)[0]
+    for server in servers:
+        harness.report_server(server, 3, 0 if server.zone else 2)
+    harness.evaluate_health()
+    harness.advance(4 * MAX_SUCCESS_AGE_REPORTS * REPORT_MS)
+    harness.disconnect(*proxies)
+    for _ in range(4):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == zone
+    harness.advance(9_000.0)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == []
+
+
+def test_a_server_that_serves_is_not_lost_with_a_zone_whose_other_servers_fail():
+    # Its own reports cover the time since the others began to fail.
+    harness = ControllerHarness()
+    servers = harness.add_servers(12)
+    zone = servers_in_zone(servers, 0)
+    for _ in range(5):
+        report_serving(harness, servers, failing=zone[1:])
+    assert zone[0] not in harness.servers_warming_up()
+    assert harness.health(zone[0]) is HealthState.HEALTHY
