Last resort: no slice is left without a server while the list has a warm one

Cause: nothing weighed a listed server against none. Failover left ejected servers out, offered none that warms up, were its start listed or only presumed, and gave an exclusive owner that warms up one slice in the time of a handover. Slices beyond the admissible load left a presumed-lost server even for nothing. An ejection looked for another usable endpoint when it began and never again.

Where no server has room, a slice gets the best server that the list has as ready and warm: healthy, then ejected, with an assumed start, presumed lost, unhealthy, ejected and unhealthy. Only a listed start keeps a server from being chosen, since it would fail for all of its slices. A presumed-lost server keeps slices that nobody else has room for. A listed server that is a slice's only endpoint is not ejected, and its ejection ends when it becomes that.

ConnectionMonitor moves into fleet_condition, whose field it sets, so that a start loads no more modules than before.

--- a/havendyke/policy/ejection.py
+++ b/havendyke/policy/ejection.py
@@ -1,6 +1,7 @@
 """Ejection: removes a server from all slices at the proxies with a single order.
 
-Updating the tables of all its slices at all proxies would exceed a drain's grace period.
+Updating the tables of all its slices at all proxies would exceed a drain's grace period. A server
+that is the last resort of a slice is not ejected, however unhealthy it is.
 """
 
 from collections.abc import Sequence
@@ -8,6 +9,7 @@
 
 from ..interface import SetEjection, Settings
 from ..state import UNAVAILABLE, UNHEALTHY, Push, Server, Slice, slices_by_server
+from .last_resort import LastResort
 from .push_budget import PushBudget
 from .table_diff import has_usable_endpoint
 
@@ -30,6 +32,7 @@
         self._replacement_wait_ms = inf
         if settings.max_empty_table_ms >= MIN_EMPTY_TABLE_MS:
             self._replacement_wait_ms = MAX_REPLACEMENT_WAIT_MS
+        self._last_resort = LastResort(settings)
 
     def orders(
         self,
@@ -85,16 +88,23 @@
         return [_set_ejection(server, False, push.serial) for server in list(servers)[:limit]]
 
     def _should_be_ejected(self, server: Server, slices: Sequence[Slice], now_ms: float) -> bool:
-        if server.health <= UNHEALTHY:
-            # Waits until each slice has another usable endpoint; otherwise its requests would find
-            # none.
-            return server.ejected or (
-                bool(slices)
-                and (self._must_not_wait(server, now_ms) or all(map(has_usable_endpoint, slices)))
-            )
-        # Lasts until the server is the primary of each slice or would get only a small share of it:
-        # a server that warms up cannot take all of its former traffic at once.
-        return server.ejected and not all(
+        if server.health > UNHEALTHY:
+            return server.ejected and not self._may_be_unejected(server, slices, now_ms)
+        if server.health == UNHEALTHY and self._last_resort.is_needed(server, now_ms):
+            return False
+        # Waits until each slice has another usable endpoint; otherwise its requests would find
+        # none.
+        return server.ejected or (
+            bool(slices)
+            and (self._must_not_wait(server, now_ms) or all(map(has_usable_endpoint, slices)))
+        )
+
+    def _may_be_unejected(self, server: Server, slices: Sequence[Slice], now_ms: float) -> bool:
+        """Whether a usable server is the primary of each slice or would get only a small share.
+
+        A server that warms up cannot take all of its former traffic at once.
+        """
+        return self._last_resort.is_needed(server, now_ms) or all(
             slice_.primary() is server or slice_.share_if_unejected(server) < MAX_UNEJECTED_SHARE
             for slice_ in slices
         )
--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -5,6 +5,7 @@
 from ..interface import Settings
 from ..state import HEALTHY, UNAVAILABLE, UNHEALTHY, WARMING_UP, Server, Slice
 from .demand import demand_of
+from .last_resort import LastResort
 from .load_limits import MAX_FAIR_SHARES, LoadLimits, rendezvous_score
 from .migration import SliceMigrator
 from .pacing import PUSH_INTERVAL_MS, TIMER_SLACK_MS
@@ -26,6 +27,7 @@
         slow_start: SlowStart,
         limits: LoadLimits,
         migrator: SliceMigrator,
+        last_resort: LastResort,
     ) -> None:
         self._handover_ms = 0.0
         if settings.exclusive_ownership:
@@ -33,6 +35,7 @@
         self._slow_start = slow_start
         self._limits = limits
         self._migrator = migrator
+        self._last_resort = last_resort
 
     def run(self, slices: Sequence[Slice], servers: Sequence[Server], now_ms: float) -> None:
         """Chooses a new primary for each slice that needs one, the largest demand first."""
@@ -61,7 +64,9 @@
         healthy = [s for s in servers if s.health == HEALTHY and not s.ejected]
         limit = UNANSWERED_LOAD_SHARE * server.assigned_load
         for slice_ in sorted(server.assigned_slices, key=lambda slice_: -demand_of(slice_)):
-            target = self._choose_target(slice_, healthy)
+            target = self._choose_fitting(slice_, healthy)
+            if target is None:
+                target = self._choose_last_resort(slice_, healthy, now_ms)
             if target is None or server.assigned_load <= limit:
                 return
             self._migrator.migrate(slice_, target, now_ms)
@@ -87,18 +92,26 @@
 
     def _fail_over(self, slice_: Slice, servers: Iterable[Server], now_ms: float) -> None:
         primary = slice_.primary()
-        pool = [
-            server
-            for server in servers
-            if server is not primary
-            and not server.ejected
-            and not self._is_taking_over(server, now_ms)
-        ]
-        target = self._choose_target(slice_, pool)
-        must_leave = primary is None or primary.health in (UNAVAILABLE, WARMING_UP)
-        # A migration between two unhealthy servers would use up push capacity for no gain.
-        if must_leave or (target is not None and target.health > UNHEALTHY):
+        others = [server for server in servers if server is not primary]
+        pool = [s for s in others if not s.ejected and not self._is_taking_over(s, now_ms)]
+        target = self._choose_fitting(slice_, pool)
+        if target is not None:
             self._migrator.migrate(slice_, target, now_ms)
+        elif primary is None or self._must_leave(primary, now_ms):
+            target = self._choose_last_resort(slice_, others, now_ms)
+            self._migrator.migrate(slice_, target, now_ms)
+        else:
+            better = [server for server in pool if _is_clearly_better(server, primary)]
+            target = self._choose_last_resort(slice_, better, now_ms)
+            if target is not None:
+                self._migrator.migrate(slice_, target, now_ms)
+
+    def _must_leave(self, primary: Server, now_ms: float) -> bool:
+        """Whether having no server is better for a slice than keeping this one."""
+        if primary.health == WARMING_UP:
+            # Overloaded, it would fail for all of its slices.
+            return not self._last_resort.is_listed_as_warm(primary, now_ms)
+        return primary.health == UNAVAILABLE
 
     def _is_taking_over(self, server: Server, now_ms: float) -> bool:
         # Requests that waited for a slice arrive all at once at the end of its handover, so a
@@ -108,7 +121,8 @@
             and now_ms - server.last_slice_received_ms < self._handover_ms
         )
 
-    def _choose_target(self, slice_: Slice, pool: Sequence[Server]) -> Server | None:
+    def _choose_fitting(self, slice_: Slice, pool: Sequence[Server]) -> Server | None:
+        """Returns a server that has room for the slice, or None."""
         primary = slice_.primary()
         standbys = [s for s in slice_.desired if s in pool and s.health == HEALTHY]
         other_zones: list[Server] = []
@@ -129,21 +143,24 @@
                 eligible = [server for server in candidates if is_eligible(server)]
                 if eligible:
                     return max(eligible, key=lambda server: rendezvous_score(slice_, server))
-        return self._least_utilized(pool, demand)
-
-    def _least_utilized(self, pool: Iterable[Server], demand: float) -> Server | None:
-        # Never a server that is known to warm up: a slice without a server loses its own requests,
-        # but an overloaded server loses those of all its slices.
-        choices = (
-            [server for server in pool if server.health == HEALTHY],
-            [server for server in pool if server.health == WARMING_UP and server.start_assumed],
-            [server for server in pool if server.health == UNHEALTHY],
-        )
-        for candidates in choices:
-            if candidates:
-                return min(candidates, key=lambda server: self._limits.utilization(server, demand))
         return None
 
+    def _choose_last_resort(
+        self, slice_: Slice, candidates: Iterable[Server], now_ms: float
+    ) -> Server | None:
+        demand = demand_of(slice_)
+        return self._last_resort.choose(
+            candidates, lambda server: self._limits.utilization(server, demand), now_ms
+        )
+
+
+def _is_clearly_better(server: Server, primary: Server) -> bool:
+    """Whether the server, overloaded, is worth a migration from the primary.
+
+    A migration between two servers that most likely fail would use up push capacity for no gain.
+    """
+    return server.health > primary.health and (server.health == HEALTHY or server.start_assumed)
+
 
 def _has_no_usable_primary(slice_: Slice) -> bool:
     primary = slice_.primary()
--- a/havendyke/policy/fleet_condition.py
+++ b/havendyke/policy/fleet_condition.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..interface import Settings
-from ..state import Server, upper_median
+from ..state import Proxy, Server, connections_per_server, upper_median
 from ..state.histogram import latency_position
 
 # Shares of failed attempts. An overloaded fleet, or one with elevated errors, stays so until the
@@ -16,6 +16,8 @@
 # A server is slow if its latency reaches this share of the shortest latency objective.
 SLOW_SHARE_OF_OBJECTIVE = 0.4
 MIN_SLOW_LATENCY_MS = 9.0
+# The traffic during a burst, as a multiple of the expected request rate.
+BURST_FACTOR = 1.5
 
 
 @dataclass(slots=True)
@@ -87,3 +89,26 @@
             server.latency.median() or 0.0 for server in servers if server.attempt_outcomes.bins[0]
         ]
         return upper_median(latencies, self.slow_position)
+
+
+class ConnectionMonitor:
+    """Sets `connections_exhausted`, estimated from the request rates of proxies."""
+
+    def __init__(self, settings: Settings, condition: FleetCondition) -> None:
+        self._capacity = settings.connection_capacity
+        self._idle_ms = settings.connection_idle_ms
+        self._condition = condition
+        self._last_counts: tuple[int, int] | None = None
+
+    def update(self, proxies: Iterable[Proxy], ready_server_count: int) -> None:
+        """Repeats the estimate when the number of proxies or servers has changed."""
+        connected = [proxy for proxy in proxies if proxy.connected]
+        counts = len(connected), ready_server_count
+        if counts == self._last_counts:
+            return
+        self._last_counts = counts
+        open_share = 0.0
+        if self._capacity:
+            in_use = connections_per_server(connected, ready_server_count, self._idle_ms)
+            open_share = in_use / self._capacity
+        self._condition.connections_exhausted = BURST_FACTOR * open_share > 1.0
--- a/havendyke/policy/table_planner.py
+++ b/havendyke/policy/table_planner.py
@@ -2,10 +2,10 @@
 
 from ..interface import Settings
 from ..state import ObservedState
-from .connection_usage import ConnectionMonitor
 from .demand import DemandEstimator
 from .failover import Failover
-from .fleet_condition import FleetMonitor
+from .fleet_condition import ConnectionMonitor, FleetMonitor
+from .last_resort import LastResort
 from .load_limits import LoadLimits
 from .migration import SliceMigrator
 from .pacing import MigrationPace
@@ -40,7 +40,9 @@
         self.connections = ConnectionMonitor(settings, fleet.condition)
         self.pace = MigrationPace(settings)
         self.migrator = SliceMigrator()
-        self.failover = Failover(settings, self.slow_start, self.limits, self.migrator)
+        self.failover = Failover(
+            settings, self.slow_start, self.limits, self.migrator, LastResort(settings)
+        )
         self.recovery = RecoveryRamp(self.limits, self.migrator, self.pace)
         self.rebalancer = Rebalancer(settings, seed, fleet, self.limits, self.migrator, self.pace)
 
