Health checks: a socket that this host cannot open is no refusal by the server

What callers saw: nothing yet, found by reading what else takes a server for lost without a sign of the server itself.

Cause: EventLoop.connect closed such a connection as "unreachable", and a check without a connection that was not reset is REFUSED.

Change: errors of socket(2) and connect(2) that come from this host close the connection for the reason `local_failure`; its check ends as NOT_SENT, which counts neither for nor against the server. EHOSTUNREACH, ENETUNREACH and ETIMEDOUT stay as they were.

--- a/benchmarks/same.py
+++ b/benchmarks/same.py
@@ -8,10 +8,10 @@
 
 Not covered, since the bench's wire format does not carry it: the loss of the push channel and
 pushes that were never sent (`PushChannelStatus`), start times that a cached list only assumes
-(`start_confirmed`), health checks of an earlier incarnation (`SUPERSEDED`), and the removal of
-unreferenced servers from the registry. Settings below their documented minimum are raised to it.
-`left_out` lists the keys of the settings that no module of a version quotes, and that it therefore
-ignores."""
+(`start_confirmed`), health checks of an earlier incarnation (`SUPERSEDED`) and those that could not
+be sent (`NOT_SENT`), and the removal of unreferenced servers from the registry. Settings below
+their documented minimum are raised to it. `left_out` lists the keys of the settings that no module
+of a version quotes, and that it therefore ignores."""
 
 import argparse
 import json
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -18,6 +18,12 @@
 from ..registry import check, register
 
 TICK_MS = 50.0
+# Those that the bench's wire has too.
+OUTCOMES = tuple(
+    outcome
+    for outcome in core.HealthCheckOutcome
+    if outcome not in (core.HealthCheckOutcome.NOT_SENT, core.HealthCheckOutcome.SUPERSEDED)
+)
 SERVER_REQUESTS_PER_S = 100.0  # that a server serves without overload
 MAX_DURATION_MS = 40_000.0
 HEADER_BYTES = 9  # determine the deployment; each step after them has four bytes
@@ -657,7 +663,7 @@
         ),
         core.HealthCheckResult(
             server,
-            draw.choice(tuple(core.HealthCheckOutcome)[:-1]),
+            draw.choice(OUTCOMES),
             arbitrary_number(draw),
         ),
         core.PushAcknowledged(proxy, draw.below(65536), arbitrary_number(draw)),
--- a/havendyke/interface/events.py
+++ b/havendyke/interface/events.py
@@ -37,6 +37,7 @@
     TIMED_OUT = "timed_out"
     REFUSED = "refused"  # the connection was refused
     RESET = "reset"  # the connection was reset while connecting or before the response
+    NOT_SENT = "not_sent"  # this host had no socket for it, which says nothing of the server
     SUPERSEDED = "superseded"  # the check reached an earlier incarnation of the server
 
 
--- a/havendyke/net/event_loop.py
+++ b/havendyke/net/event_loop.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import errno
 import time
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +21,24 @@
 # asyncio's timers may fire early by this much.
 TIMER_TOLERANCE_MS = 0.2
 MAX_LOGGED_CAUSE_CHARS = 300
+# Errors of socket(2) and connect(2) that this host causes, before anything reaches the remote end:
+# no descriptors, memory or free ports are left, a local rule forbids it, or the network is down.
+LOCAL_CONNECT_ERRORS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EACCES,
+        errno.EPERM,
+        errno.ENETDOWN,
+    }
+)
+# Why a connection was closed that could not be attempted, because of such an error.
+LOCAL_FAILURE = "local_failure"
 
 
 class EventLoop:
@@ -140,7 +159,7 @@
         except ConnectionRefusedError:
             connection.close("refused")
         except (OSError, ValueError, OverflowError) as error:
-            connection.close("reset" if isinstance(error, ConnectionResetError) else "unreachable")
+            connection.close(_connect_failure(error))
 
     def _run_deadlines(self) -> None:
         self._timer = None
@@ -163,3 +182,12 @@
         self.count("failures")
         cause = f"{context.get('message')}: {context.get('exception')!r}"
         self.log("failure", peer="loop", cause=cause[:MAX_LOGGED_CAUSE_CHARS])
+
+
+def _connect_failure(error: Exception) -> str:
+    """The reason for which a connection that failed to connect is closed."""
+    if isinstance(error, ConnectionResetError):
+        return "reset"
+    if isinstance(error, OSError) and error.errno in LOCAL_CONNECT_ERRORS:
+        return LOCAL_FAILURE
+    return "unreachable"
--- a/havendyke/net/health_checks.py
+++ b/havendyke/net/health_checks.py
@@ -11,7 +11,7 @@
 from ..state import Server
 from .buffer import MessageTooLongError
 from .connection import MAX_LOGGED_FIELD_CHARS, Connection
-from .event_loop import Address, EventLoop
+from .event_loop import LOCAL_FAILURE, Address, EventLoop
 from .http import STATUS_OK, STATUS_SERVICE_UNAVAILABLE, ResponseParser, get_request
 from .peer_codecs import PeerCodecs
 from .timer import Timer
@@ -22,6 +22,12 @@
     STATUS_OK: HealthCheckOutcome.PASSED,
     STATUS_SERVICE_UNAVAILABLE: HealthCheckOutcome.SATURATED,
 }
+# Outcome of a check without a connection by the reason for which that was closed; for any other
+# reason the server is down or unreachable.
+OUTCOME_WITHOUT_CONNECTION = {
+    "reset": HealthCheckOutcome.RESET,
+    LOCAL_FAILURE: HealthCheckOutcome.NOT_SENT,
+}
 # Outcome of an incomplete response by the reason for which its connection was closed; any other
 # reason counts as a reset.
 OUTCOME_BY_CLOSE_REASON = {
@@ -83,9 +89,7 @@
     def _outcome(self, reason: str) -> HealthCheckOutcome:
         response = self._response
         if response is None:
-            # No connection was established: the server is down or unreachable.
-            reset = reason == "reset"
-            return HealthCheckOutcome.RESET if reset else HealthCheckOutcome.REFUSED
+            return OUTCOME_WITHOUT_CONNECTION.get(reason, HealthCheckOutcome.REFUSED)
         if response.done or (response.ends_with_connection and reason == "ended"):
             return OUTCOME_BY_STATUS.get(response.status, HealthCheckOutcome.ERROR)
         return OUTCOME_BY_CLOSE_REASON.get(reason, HealthCheckOutcome.RESET)
--- a/tests/net/test_event_loop.py
+++ b/tests/net/test_event_loop.py
@@ -1,8 +1,10 @@
 """The event loop adapter: stalls of the process, full slots, and the limits of a connection."""
 
 import asyncio
+import errno
 import time
 
+import pytest
 from helpers import connect_client, feed, make_assigner, suspend_reconciliation, weight_order
 
 from havendyke.config import Limits
@@ -35,6 +37,45 @@
     assert asyncio.run(stall()) == "up"
 
 
+@pytest.mark.parametrize(
+    "error, reason",
+    [
+        (errno.EMFILE, "local_failure"),
+        (errno.ENFILE, "local_failure"),
+        (errno.ENOBUFS, "local_failure"),
+        (errno.ENOMEM, "local_failure"),
+        (errno.EADDRNOTAVAIL, "local_failure"),
+        (errno.EAGAIN, "local_failure"),
+        (errno.ENETDOWN, "local_failure"),
+        (errno.ECONNREFUSED, "refused"),
+        (errno.ECONNRESET, "reset"),
+        (errno.EHOSTUNREACH, "unreachable"),
+        (errno.ENETUNREACH, "unreachable"),
+        (errno.ETIMEDOUT, "unreachable"),
+    ],
+)
+def test_a_socket_that_this_host_cannot_open_is_not_a_refusal_by_the_remote_end(error, reason):
+    # Healthy servers were taken for dead while the assigner had no descriptors left.
+    class Peer:
+        name, reason = "health_checks", None
+
+        def closed(self, connection, reason):
+            self.reason = reason
+
+    async def fail_to_connect(*arguments):
+        raise OSError(error, "cannot connect")
+
+    async def connect():
+        event_loop, peer = EventLoop(Limits(), lambda *a, **k: None), Peer()
+        event_loop.loop.create_connection = fail_to_connect
+        event_loop.connect(("127.0.0.1", 1), peer)
+        while peer.reason is None:
+            await asyncio.sleep(0)
+        return peer.reason
+
+    assert asyncio.run(connect()) == reason
+
+
 def test_a_message_over_the_limit_closes_only_its_connection():
     assigner, event_loop = make_assigner(max_message_bytes=4096, initial_buffer_bytes=64)
     bad, good = connect_client(suspend_reconciliation(assigner)), connect_client(assigner)
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -13,6 +13,10 @@
 CHECK_OUTCOMES = {
     "refused": (core.HealthCheckOutcome.REFUSED, lambda c, event_loop: c.close("refused")),
     "unreachable": (core.HealthCheckOutcome.REFUSED, lambda c, event_loop: c.close("timeout")),
+    "no socket left": (
+        core.HealthCheckOutcome.NOT_SENT,
+        lambda c, event_loop: c.close("local_failure"),
+    ),
     "reset": (
         core.HealthCheckOutcome.RESET,
         lambda c, event_loop: (c.connection_made(StubTransport()), c.close("reset")),
--- a/tests/policy/test_outlier_detection.py
+++ b/tests/policy/test_outlier_detection.py
@@ -110,3 +110,12 @@
     harness.plan()
     harness.evaluate_health()
     assert harness.is_outlier(servers[0]) == outlier
+
+
+def test_health_checks_that_could_not_be_sent_say_nothing_of_a_server():
+    harness = ControllerHarness(health_checks=True)
+    servers = harness.add_servers(5)
+    for _ in range(2 * UNANSWERED_CHECKS_TO_EJECT):
+        harness.report_health_check(servers[0], core.HealthCheckOutcome.NOT_SENT)
+        harness.evaluate_health()
+        assert not harness.is_outlier(servers[0]) and not harness.check_in_flight(servers[0])
