Start: tables are not emptied because no endpoint list has named their servers yet

What callers saw: nothing in service yet, found by reading what leaves slices without a server. An assigner that starts with an empty cached list while discovery is silent emptied every table of the store after 3 s, with all servers up.

Cause: servers that published tables name and the cached list lacks counted as usable for 3 s, then as unavailable, as if a list had told that they are gone; slices leave such servers even for nothing.

Change: only a current list shows that a server is gone. Until one arrives, such servers count as unhealthy once the cached list is old: slices leave them for better listed ones, and stay where there are none.

--- a/havendyke/policy/controller.py
+++ b/havendyke/policy/controller.py
@@ -28,7 +28,7 @@
 from .push_budget import PushCosts
 from .push_scheduler import PushScheduler
 from .retries import RetryPolicySelector
-from .server_capacity import CACHED_LIST_TRUST_MS, CapacityEstimator
+from .server_capacity import CapacityEstimator, health_of_unlisted
 from .shared_tables import SharedTables
 from .table_planner import TablePlanner
 from .zone_loss import ZoneLossDetector
@@ -172,8 +172,8 @@
                 ready, observed.connected_by_zone, self.condition.overloaded, now_ms
             )
         self.outliers.evaluate(ready, now_ms, observed.last_success_ms)
-        list_is_current = observed.endpoint_list_received or self._age_ms > CACHED_LIST_TRUST_MS
-        self.capacity.update(observed.servers, ready, now_ms, list_is_current)
+        unlisted = health_of_unlisted(observed.endpoint_list_received, self._age_ms)
+        self.capacity.update(observed.servers, ready, now_ms, unlisted)
 
     def adjust_admission(self) -> None:
         """Lowers or raises the admission limit."""
--- a/havendyke/policy/server_capacity.py
+++ b/havendyke/policy/server_capacity.py
@@ -13,8 +13,8 @@
 UNSTATED_SIZE_BOUNDS = (0.75, 1.35)
 # The guaranteed capacity of a slow server is divided by up to this.
 MAX_GUARANTEE_REDUCTION = 3.0
-# A cached endpoint list may lack servers of published tables. They stay usable until a current list
-# arrives, but no longer than this after the controller's start.
+# A cached endpoint list may lack servers of published tables. They count as healthy until a current
+# list arrives, but no longer than this after the controller's start.
 CACHED_LIST_TRUST_MS = 3_000.0
 
 
@@ -33,15 +33,15 @@
         servers: Iterable[Server],
         ready_servers: Sequence[Server],
         now_ms: float,
-        list_is_current: bool,
+        unlisted_health: HealthState,
     ) -> None:
-        """Updates every server; unlisted ones stay usable until the endpoint list is current."""
+        """Updates every server; those that no list has named are at most in `unlisted_health`."""
         medians = [m for s in ready_servers if (m := s.latency.median()) is not None]
         fleet_median = upper_median(medians, None)
         for server in servers:
             progress = server.warm_up_progress(now_ms, self._warm_up_ms, self._initial_share)
             self._update_capacity(server, fleet_median, progress)
-            server.health = _health(server, progress, list_is_current)
+            server.health = _health(server, progress, unlisted_health)
 
     def _update_capacity(self, server: Server, fleet_median: float | None, progress: float) -> None:
         median = server.latency.median()
@@ -61,10 +61,21 @@
         server.guaranteed_capacity = server.size * progress / reduction
 
 
-def _health(server: Server, progress: float, list_is_current: bool) -> HealthState:
-    # A published table may contain a server that a cached endpoint list lacks.
-    unlisted = server.state is None
-    if (unlisted and list_is_current) or not (unlisted or server.is_ready):
+def health_of_unlisted(list_received: bool, controller_age_ms: float) -> HealthState:
+    """The best health of servers that published tables name, but no endpoint list so far.
+
+    Only a current list shows that they are gone. While none arrives they are better than none, and
+    no more than that once the cached list is old.
+    """
+    if list_received:
+        return UNAVAILABLE
+    return UNHEALTHY if controller_age_ms > CACHED_LIST_TRUST_MS else HEALTHY
+
+
+def _health(server: Server, progress: float, unlisted_health: HealthState) -> HealthState:
+    if server.state is None and unlisted_health < HEALTHY:
+        return unlisted_health
+    if not (server.state is None or server.is_ready):
         return UNAVAILABLE
     if server.unhealthy_until_ms is not None:
         return UNHEALTHY
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -25,7 +25,7 @@
     """A server's health, in ascending order of usability."""
 
     UNAVAILABLE = 0  # draining, gone, or not in the endpoint list
-    UNHEALTHY = 1  # an outlier
+    UNHEALTHY = 1  # an outlier, or unlisted while no current list arrives
     WARMING_UP = 2
     HEALTHY = 3
 
