Zone loss: a zone of five proxies is seen as lost at any moment

Cause: the peak number of a zone's proxies, 5 at the least, fades by a twentieth each 2.5 s while proxies are missing, and it fades before the zone is judged. Of five proxies that leave together 4.75 count from the next such moment on, so that the sign lasted 2.5 s at most and was not seen at all where that moment came first; the servers were marked 3 s after the loss, by reports.

Change: the peak is rounded up, so that five proxies count as five for 10 s.

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from math import ceil
 
 from ..interface import Settings
 from ..state import ConnectedProxyCount, Server, ZoneLoadReport
@@ -195,11 +196,7 @@
 
 
 def _zones_with_lost_proxies(connected_by_zone: dict[int, ConnectedProxyCount]) -> set[int]:
-    lost = {
-        zone
-        for zone, proxies in connected_by_zone.items()
-        if proxies.peak >= MIN_PEAK_PROXIES and proxies.connected <= LOST_PROXY_SHARE * proxies.peak
-    }
+    lost = {zone for zone, proxies in connected_by_zone.items() if _are_lost(proxies)}
     # If most proxies of the other zones are disconnected as well, the relay has failed: zones
     # whose proxies reconnect one after the other were not lost.
     others = [proxies for zone, proxies in connected_by_zone.items() if zone not in lost]
@@ -208,6 +205,13 @@
     return set()
 
 
+def _are_lost(proxies: ConnectedProxyCount) -> bool:
+    """Whether almost all proxies of a zone that had enough of them have disconnected."""
+    # Rounded up, since the peak begins to fade as soon as the proxies are gone.
+    enough = ceil(proxies.peak) >= MIN_PEAK_PROXIES
+    return enough and proxies.connected <= LOST_PROXY_SHARE * proxies.peak
+
+
 def _fails_since(server: Server, since_ms: float) -> bool:
     """Whether a report that arrived later shows a break of the server's service."""
     return any(
--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -176,6 +176,24 @@
     assert all(harness.guaranteed_capacity(s) == initial_capacity(s) for s in presumed_lost)
 
 
+@pytest.mark.parametrize("elapsed_ms", [0.0, 2500.0, 5000.0])
+def test_the_loss_of_a_small_zone_is_seen_while_its_peak_fades(elapsed_ms):
+    # A zone of just enough proxies that was lost at the wrong moment was not protected.
+    harness = ControllerHarness()
+    servers = harness.add_servers(12)
+    proxies = connect_zones(harness)[0]
+    harness.evaluate_health()
+    harness.advance(2400.0)
+    harness.evaluate_health()
+    harness.disconnect(*proxies)
+    for _ in range(int(elapsed_ms / 250.0) + 1):
+        harness.advance(250.0)
+        harness.evaluate_health()
+    assert all(
+        harness.guaranteed_capacity(s) == initial_capacity(s) for s in servers_in_zone(servers, 0)
+    )
+
+
 def test_no_zone_is_lost_if_proxies_of_most_zones_disconnect():
     # The relay or the controller itself is more likely at fault.
     harness = ControllerHarness()
