--- a/fuzz/faults.py
+++ b/fuzz/faults.py
@@ -31,6 +31,21 @@
 
 
 FAULTS = (
+    Fault(
+        "ejection_outlasts_substitutes",
+        "policy/ejection.py",
+        "        if server.health == UNHEALTHY and self._last_resort.is_needed(server, now_ms):\n"
+        "            return False\n",
+        "",
+        "outages",
+    ),
+    Fault(
+        "no_last_resort_in_a_lost_zone",
+        "policy/last_resort.py",
+        "            or now_ms - server.started_ms >= self._warm_up_ms\n",
+        "            or now_ms - max(server.started_ms, server.zone_lost_ms) >= self._warm_up_ms\n",
+        "outages",
+    ),
     Fault(
         "length_off_by_one",
         "net/resp.py",
--- a/fuzz/registry.py
+++ b/fuzz/registry.py
@@ -10,6 +10,7 @@
     "fuzz.targets.machines",
     "fuzz.targets.core",
     "fuzz.targets.controllers",
+    "fuzz.targets.outages",
     "fuzz.targets.recovery",
     "fuzz.targets.xds",
 )
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -162,7 +162,7 @@
         self.drained_at_ms = -1e9
         self.failed_at_ms = -1e9
         self.channel_slow_until_ms = -1e9
-        self.slowdowns, self.stood = {}, []
+        self.slowdowns = {}
         servers = [self.add_server() for _ in range(self.server_count)]
         total_requests_per_s = SERVER_REQUESTS_PER_S * self.utilization * self.server_count
         weights = [0.4 + self.random_numbers.draw() for _ in range(self.slice_count)]
@@ -522,11 +522,15 @@
                 self.send_reports()
             self.reconcile()
             self.rule_checker.check(self.now_ms, self.data_plane, self.demand)
-            check(
-                not self.rule_checker.violations,
-                "rule violated:",
-                *[str(violation) for violation in self.rule_checker.violations[:1]],
-            )
+            self.check_rules()
+
+    def check_rules(self):
+        """Checks that no rule has been broken."""
+        check(
+            not self.rule_checker.violations,
+            "rule violated:",
+            *[str(violation) for violation in self.rule_checker.violations[:1]],
+        )
 
     def check_published_tables(self):
         """Checks that the published tables in the controller's state match the store."""
@@ -553,19 +557,24 @@
 def run_scenario(data) -> Scenario:
     seed = int.from_bytes(hashlib.blake2b(data[:HEADER_BYTES], digest_size=4).digest(), "big")
     scenario = Scenario(Draw(data[:HEADER_BYTES].ljust(HEADER_BYTES, b"\0")), seed)
-    started_ms = scenario.now_ms
+    end_ms = scenario.now_ms + MAX_DURATION_MS
     scenario.run_for(1500.0)
-    for begin in range(HEADER_BYTES, len(data), 4):
-        step, a, b, c = data[begin : begin + 4].ljust(4, b"\0")
-        if scenario.now_ms - started_ms > MAX_DURATION_MS:
-            break
-        Scenario.STEPS[step % len(Scenario.STEPS)](scenario, a, b, c)
-        scenario.run_for(TICK_MS * (1 + (step >> 4) * 2))
+    play_steps(scenario, data[HEADER_BYTES:], end_ms, TICK_MS)
     scenario.run_for(4000.0)
     scenario.check_published_tables()
     return scenario
 
 
+def play_steps(scenario, data, end_ms, step_unit_ms):
+    """Takes a step for each four bytes; the upper half of the first byte is the time after it."""
+    for begin in range(0, len(data), 4):
+        step, a, b, c = data[begin : begin + 4].ljust(4, b"\0")
+        if scenario.now_ms > end_ms:
+            break
+        scenario.STEPS[step % len(scenario.STEPS)](scenario, a, b, c)
+        scenario.run_for(step_unit_ms * (1 + (step >> 4) * 2))
+
+
 def scenario_seeds() -> list:
     deployments = [
         bytes(HEADER_BYTES),
