Log: where the start of a server that warms up is known from

Change: `server_warming_up` has `start`: listed, assumed of a cached list, or presumed of a lost zone.

Measured: the new test of the log failed before (no such field); 319 tests of the policy, the log's page and the commands pass.

--- a/havendyke/events.py
+++ b/havendyke/events.py
@@ -51,13 +51,15 @@
         (
             "server",
             "age_ms",
+            "start",
             "slices",
             "load",
             "admissible_load",
             "unanswered_checks",
             "attempts",
         ),
-        "the slices of a server that warms up have changed, at most once a second: its age; the "
+        "the slices of a server that warms up have changed, at most once a second: its age; "
+        "whether its start is listed, assumed of a cached list, or presumed of a lost zone; the "
         "slices; their load and the load that it may keep, in units of an average slice's demand; "
         "health checks in a row without an answer; recent attempts that succeeded and failed",
     ),
--- a/havendyke/net/warm_up_log.py
+++ b/havendyke/net/warm_up_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from ..state import WARMING_UP, Server
+from ..state.server import LONG_AGO_MS
 from .event_loop import EventLoop
 
 
@@ -31,16 +32,24 @@
         self._logged = current
 
     def _log(self, server: Server, slice_ids: list[int], admissible_load: float) -> None:
-        # A server of a lost zone is presumed to have started when the zone was lost.
-        started_ms = max(server.zone_lost_ms, server.started_ms or server.zone_lost_ms)
+        started_ms, start = _start_of(server)
         succeeded, failed = server.attempt_outcomes.bins
         self._event_loop.log(
             "server_warming_up",
             server=server.id,
             age_ms=round(self._event_loop.now() - started_ms),
+            start=start,
             slices=slice_ids,
             load=round(server.assigned_load, 2),
             admissible_load=round(admissible_load, 2),
             unanswered_checks=server.unanswered_checks,
             attempts=[round(succeeded, 1), round(failed, 1)],
         )
+
+
+def _start_of(server: Server) -> tuple[float, str]:
+    """The start that a server counts as warming up from, and where it is known from."""
+    listed_ms = server.started_ms if server.started_ms is not None else LONG_AGO_MS
+    if server.zone_lost_ms > listed_ms:
+        return server.zone_lost_ms, "presumed"
+    return listed_ms, "assumed" if server.start_assumed else "listed"
--- a/tests/controller_harness.py
+++ b/tests/controller_harness.py
@@ -456,6 +456,11 @@
     def set_started(self, server: Server, time_ms: float | None) -> None:
         server.started_ms = time_ms
 
+    def presume_lost(self, *servers: Server) -> None:
+        """Presumes that these servers are lost with their zone, and restart now."""
+        for server in servers:
+            server.zone_lost_ms = self.now_ms
+
     def start_is_assumed(self, server: Server) -> bool:
         """Whether its start time is known from a cached list only."""
         return server.start_assumed
--- a/tests/net/test_fleet_summary.py
+++ b/tests/net/test_fleet_summary.py
@@ -46,3 +46,24 @@
     logged = [values for event, values in lines if event == "server_warming_up"]
     assert [values["slices"] for values in logged] == [[migrating.id], []]
     assert logged[0]["server"] == warming_up.id and logged[0]["load"] == 1.0
+
+
+def test_the_log_says_where_the_start_of_a_server_that_warms_up_is_known_from():
+    # Servers that only their zone's loss made warm up looked like restarted ones.
+    scene, logged, event_loop = ControllerHarness(), {}, SimulatedEventLoop()
+    event_loop.log = lambda event, **values: logged.update({values.get("server"): values})
+    summary = FleetSummary(event_loop, scene.controller)
+    listed, assumed, lost = scene.add_servers(3)
+    started_ms = scene.now_ms - 2000.0
+    scene.list_servers([listed], started_ms=started_ms)
+    scene.list_servers([assumed], started_ms=started_ms, start_confirmed=False)
+    scene.presume_lost(lost)
+    scene.add_slices([listed, assumed, lost])
+    scene.evaluate_health()
+    scene.estimate_demand(scene.assigned_slices)
+    summary.log_summary()
+    assert [logged[server.id]["start"] for server in (listed, assumed, lost)] == [
+        "listed",
+        "assumed",
+        "presumed",
+    ]
--- a/tests/policy/test_last_resort.py
+++ b/tests/policy/test_last_resort.py
@@ -63,7 +63,7 @@
 
 
 def presume_lost(harness, server):
-    server.zone_lost_ms = harness.now_ms
+    harness.presume_lost(server)
 
 
 @pytest.mark.parametrize(
@@ -188,8 +188,7 @@
     lost = servers_in_zone(servers, 0)
     slices = harness.add_slices(lost * 4)
     harness.connect_proxies(2)
-    for server in lost:
-        presume_lost(harness, server)
+    harness.presume_lost(*lost)
     list_as_started(harness, *(server for server in servers if server not in lost))
     plan(harness)
     assert None not in primaries(harness, slices)
