Zone loss: servers get back what they released while they were wrongly presumed lost

Cause: only a listed start and an ejection's end make a server `recovering`; rebalancing moves slices to idle servers only off slow ones.

Change: a server whose mark is withdrawn counts as recovering, and the recovery ramp returns slices to it.

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -88,10 +88,15 @@
         earlier_ms = self.replaced_marks.pop(server, None)
         if earlier_ms is not None:
             server.zone_lost_ms = earlier_ms
+            # It may have lost slices meanwhile.
+            server.recovering = True
 
 
 class ZoneLossDetector:
-    """Marks the servers of zones that are lost; writes `zone_lost_ms` of servers."""
+    """Marks the servers of zones that are lost.
+
+    Writes `zone_lost_ms` of servers, and `recovering` where a mark is withdrawn.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self._warm_up_ms = settings.warm_up_ms
--- a/havendyke/state/server.py
+++ b/havendyke/state/server.py
@@ -75,11 +75,12 @@
         # `health_checks`; a check's result resets `check_in_flight`.
         self.last_check_ms: float | None = None
         self.check_in_flight = False
-        # `outlier_detection`; `recovery_ramp` resets `recovering`.
+        # `outlier_detection`; `zone_loss` sets `recovering` too, `recovery_ramp` resets it.
         self.unhealthy_until_ms: float | None = None
         self.ejection_time_ms = 0.0  # of the last ejection; the next one doubles it
         self.failing = False  # a large share of its attempts fail
-        self.recovering = False  # restarted or was unhealthy, and still has too few slices
+        # Restarted, was unhealthy or presumed lost, and still has too few slices.
+        self.recovering = False
         # `zone_loss`: a server that answers after this has most likely restarted.
         self.zone_lost_ms = LONG_AGO_MS
         # `server_capacity`
--- a/tests/lab/test_zone_lost.py
+++ b/tests/lab/test_zone_lost.py
@@ -2,6 +2,7 @@
 servers may fail of overload when they restart."""
 
 import pytest
+from controller_harness import ControllerHarness
 from deployment import deployment
 from test_several_controllers import lose_zone, violations
 
@@ -9,6 +10,7 @@
 from havendyke.lab.controllers import ZONES
 from havendyke.lab.rules import Bounds
 from havendyke.lab.server_load import Sampling
+from havendyke.policy.recovery_ramp import RECOVERED_UTILIZATION
 
 LOST_FOR_MS = 5000.0
 MANY_PROXIES = 18
@@ -130,3 +132,22 @@
     )
     group.run_for(14_000.0)
     assert not violations(group)
+
+
+def test_servers_whose_zone_lost_only_its_proxies_get_their_slices_back():
+    # Nothing returned what they had released while they were presumed to have restarted.
+    group = deployment(1, 1, servers=18, proxies=MANY_PROXIES, group={"sampling": SLOW})
+    group.run_for(4000.0)
+    (replica,) = group.replicas
+    harness = ControllerHarness.wrap(replica.registry.controller)
+    zone = [s for s in harness.servers if group.servers[s.id].zone == 0]
+
+    def load_of_zone():
+        return sum(harness.assigned_load(server) for server in zone)
+
+    load = load_of_zone()
+    disconnect_zone(group, 17_000.0, fresh=False)
+    group.run_for(2500.0)
+    assert load_of_zone() < RECOVERED_UTILIZATION * load
+    group.run_for(14_000.0)
+    assert load_of_zone() >= RECOVERED_UTILIZATION * load and not violations(group)
