--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -296,8 +296,8 @@
 
 
 def test_servers_that_go_on_serving_are_not_lost_with_the_proxies_of_their_zone():
-    # The servers counted as just started for as long as the proxies were away, and lost their
-    # slices; when the others drained, slices had no server (review/8).
+    # The servers counted as just started and lost their slices; when the others drained, slices
+    # had no server (review/8).
     harness, zone, _ = zone_without_proxies()
     for _ in range(4):
         report_serving(harness, zone)
