Zone loss: only servers that were reported all the time are known to have served

A suspicion renewed by a second disconnection took the first one's marks for facts.

Servers speak for their zone only where the disconnection of its proxies was the only sign. A renewed suspicion keeps what the former one had replaced.

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -68,8 +68,11 @@
     since_ms: float
     last_sign_ms: float
     signs: LossSigns
+    reports_have_failed: bool = False  # the sign has held, not only the one of the proxies
     refuted: bool = False  # the proxies disconnected, but the servers serve
     failed_servers: set[Server] = field(default_factory=set)
+    # Not reported for some time, in which they may have restarted.
+    unobserved_servers: set[Server] = field(default_factory=set)
     # The values of `zone_lost_ms` that the suspicion has replaced.
     replaced_marks: dict[Server, float] = field(default_factory=dict)
 
@@ -78,6 +81,23 @@
         """Whether the zone counts as lost now."""
         return self.signs.reports_failing or (self.signs.proxies_disconnected and not self.refuted)
 
+    def renewed(self, signs: LossSigns, now_ms: float) -> "SuspectedLoss":
+        """The suspicion after a sign has appeared; what it marked before stays in doubt."""
+        marks = {
+            server: earlier_ms
+            for server, earlier_ms in self.replaced_marks.items()
+            if server not in self.failed_servers
+        }
+        return SuspectedLoss(now_ms, now_ms, signs, replaced_marks=marks)
+
+    def has_served(self, server: Server) -> bool:
+        """Whether reports show that the server has served without a break since the sign."""
+        return (
+            server not in self.failed_servers
+            and server not in self.unobserved_servers
+            and _serves_since(server, self.since_ms)
+        )
+
     def mark(self, server: Server, now_ms: float) -> None:
         """Presumes that the server restarts, at the earliest now."""
         self.replaced_marks.setdefault(server, server.zone_lost_ms)
@@ -135,13 +155,16 @@
     def _update_signs(
         self, zones_without_proxies: set[int], failing_zones: set[int], now_ms: float
     ) -> None:
-        """Records which signs hold; a sign that appears begins a new suspicion."""
+        """Records which signs hold; a sign that appears renews the suspicion."""
         for zone in self._suspected.keys() | zones_without_proxies | failing_zones:
             signs = LossSigns(zone in zones_without_proxies, zone in failing_zones)
             known = self._suspected.get(zone)
-            if known is None or signs.adds_to(known.signs):
+            if known is None:
                 known = self._suspected[zone] = SuspectedLoss(now_ms, now_ms, signs)
+            elif signs.adds_to(known.signs):
+                known = self._suspected[zone] = known.renewed(signs, now_ms)
             known.signs = signs
+            known.reports_have_failed |= signs.reports_failing
             if signs != NO_SIGNS:
                 known.last_sign_ms = now_ms
             elif known.refuted or now_ms - known.last_sign_ms >= self._warm_up_ms:
@@ -150,20 +173,17 @@
     def _withdraw_refuted(self, candidates: Iterable[Server], now_ms: float) -> None:
         """Withdraws marks of servers that have served since the suspicion began.
 
-        The servers of a zone speak for those that no report names.
+        Where only the proxies have disconnected, the servers of a zone speak for those that no
+        report names.
         """
         servers_of: dict[int, list[Server]] = defaultdict(list)
         for server in candidates:
             servers_of[server.zone].append(server)
         for zone, suspected in self._suspected.items():
             servers = servers_of[zone]
-            suspected.failed_servers.update(
-                server
-                for server in servers
-                if _fails_since(server, suspected.since_ms - self._report_window_ms)
-            )
-            serving = [server for server in servers if self._serves(server, suspected)]
-            if not suspected.signs.reports_failing:
+            self._observe(suspected, servers, now_ms)
+            serving = [server for server in servers if suspected.has_served(server)]
+            if not suspected.reports_have_failed:
                 suspected.refuted = suspected.refuted or self._is_refuted(
                     suspected, len(serving), now_ms
                 )
@@ -171,15 +191,19 @@
                 if server not in suspected.failed_servers:
                     suspected.unmark(server)
 
+    def _observe(self, suspected: SuspectedLoss, servers: Iterable[Server], now_ms: float) -> None:
+        """Records which servers have failed, or were not reported for some time."""
+        for server in servers:
+            if _fails_since(server, suspected.since_ms - self._report_window_ms):
+                suspected.failed_servers.add(server)
+            if not _is_reported_since(server, now_ms - self._report_window_ms):
+                suspected.unobserved_servers.add(server)
+
     def _is_refuted(self, suspected: SuspectedLoss, serving_count: int, now_ms: float) -> bool:
         if not suspected.failed_servers and now_ms - suspected.since_ms > self._failure_due_ms:
             return True
         return serving_count > len(suspected.failed_servers)
 
-    @staticmethod
-    def _serves(server: Server, suspected: SuspectedLoss) -> bool:
-        return server not in suspected.failed_servers and _serves_since(server, suspected.since_ms)
-
     def _mark(self, candidates: Sequence[Server], now_ms: float) -> None:
         lost = {zone: each for zone, each in self._suspected.items() if each.indicates_loss}
         # Zones that fail one after the other add up while their servers are presumed to warm up.
@@ -192,7 +216,7 @@
             return
         for server in candidates:
             suspected = lost.get(server.zone)
-            if suspected is not None and not self._serves(server, suspected):
+            if suspected is not None and not suspected.has_served(server):
                 suspected.mark(server, now_ms)
 
     def _zones_with_failing_reports(self, servers: Sequence[Server], now_ms: float) -> set[int]:
@@ -225,6 +249,10 @@
     )
 
 
+def _is_reported_since(server: Server, since_ms: float) -> bool:
+    return any(report.received_ms > since_ms for report in server.zone_reports.values())
+
+
 def _serves_since(server: Server, since_ms: float) -> bool:
     """Whether a report on requests that were all sent later shows that the server serves."""
     return any(
--- a/tests/lab/test_zone_lost.py
+++ b/tests/lab/test_zone_lost.py
@@ -105,7 +105,14 @@
     # Its servers are back, cold, before any report shows a failure and before the list tells.
     options = {"sampling": SLOW, "bounds": Bounds(empty_table_ms=12_000.0)}
     group = deployment(
-        count, 1, servers=30, proxies=MANY_PROXIES, load=0.85, group=options, **settings
+        count,
+        1,
+        servers=30,
+        proxies=MANY_PROXIES,
+        load=0.85,
+        group=options,
+        report_interval_ms=SLOW.period_ms,
+        **settings,
     )
     group.run_for(4000.0)
     lose_zone_with_its_proxies(group, 2000.0, (1000.0, 4000.0))
@@ -120,7 +127,15 @@
         "sampling": SLOW,
         "bounds": Bounds(empty_table_ms=EXCLUSIVE_OWNERSHIP["max_empty_table_ms"]),
     }
-    group = deployment(1, 1, servers=18, proxies=MANY_PROXIES, group=options, **settings)
+    group = deployment(
+        1,
+        1,
+        servers=18,
+        proxies=MANY_PROXIES,
+        group=options,
+        report_interval_ms=SLOW.period_ms,
+        **settings,
+    )
     group.run_for(4000.0)
     disconnect_zone(group, 17_000.0, fresh=False)
     group.run_for(3000.0)
@@ -136,7 +151,14 @@
 
 def test_servers_whose_zone_lost_only_its_proxies_get_their_slices_back():
     # Nothing returned what they had released while they were presumed to have restarted.
-    group = deployment(1, 1, servers=18, proxies=MANY_PROXIES, group={"sampling": SLOW})
+    group = deployment(
+        1,
+        1,
+        servers=18,
+        proxies=MANY_PROXIES,
+        group={"sampling": SLOW},
+        report_interval_ms=SLOW.period_ms,
+    )
     group.run_for(4000.0)
     (replica,) = group.replicas
     harness = ControllerHarness.wrap(replica.registry.controller)
--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -275,13 +275,16 @@
 REPORT_MS = 1000.0
 
 
-def zone_without_proxies(age_reports=0):
-    """A fleet of which zone 0's proxies have just disconnected; returns harness, zone, proxies."""
+def zone_without_proxies(reported=12):
+    """A fleet of which zone 0's proxies have just disconnected; returns harness, zone, proxies.
+
+    `reported`: the number of servers that load reports have named before.
+    """
     harness = ControllerHarness()
     servers = harness.add_servers(12)
     zones = connect_zones(harness)
-    for _ in range(age_reports):
-        report_serving(harness, servers)
+    for _ in range(3):
+        report_serving(harness, servers[:reported])
     harness.disconnect(*zones[0])
     harness.evaluate_health()
     return harness, servers_in_zone(servers, 0), zones[0]
@@ -309,7 +312,7 @@
 
 def test_reports_on_requests_from_before_the_proxies_disconnected_prove_nothing():
     # The last reports of a lost zone show no failures, and arrive after its loss.
-    harness, zone, _ = zone_without_proxies(age_reports=3)
+    harness, zone, _ = zone_without_proxies()
     for _ in range(2):
         report_serving(harness, zone)
     assert harness.servers_warming_up() == zone
@@ -327,12 +330,49 @@
 
 
 def test_the_serving_servers_of_a_zone_speak_for_those_without_reports():
-    harness, zone, _ = zone_without_proxies()
+    harness, zone, _ = zone_without_proxies(reported=6)
     for _ in range(4):
         report_serving(harness, zone[:2])
     assert harness.servers_warming_up() == []
 
 
+def test_servers_without_reports_since_the_loss_are_not_known_to_have_served():
+    # Nobody sent them a request while they were away; they serve again, but have restarted.
+    harness, zone, _ = zone_without_proxies()
+    for _ in range(2):
+        report_serving(harness, [], failing=())
+    for _ in range(6):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == zone
+
+
+def test_a_suspicion_that_is_renewed_does_not_hide_that_the_servers_served():
+    # The proxies of the zone disconnect twice; the first presumption was taken for a fact.
+    harness, zone, proxies = zone_without_proxies()
+    report_serving(harness, zone)
+    for proxy in proxies:
+        harness.connect(proxy)
+    report_serving(harness, zone)
+    harness.disconnect(*proxies)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == zone
+    for _ in range(4):
+        report_serving(harness, zone)
+    assert harness.servers_warming_up() == []
+
+
+def test_no_server_of_a_zone_that_failed_speaks_for_the_others():
+    # Most of them were not reported while the zone was lost.
+    harness = ControllerHarness()
+    servers = harness.add_servers(24)
+    zone = servers_in_zone(servers, 0)
+    for _ in range(2):
+        report_serving(harness, servers[:12], failing=zone[:3])
+    for _ in range(8):
+        report_serving(harness, zone)
+    assert set(zone[4:]) <= set(harness.servers_warming_up())
+
+
 def test_only_the_servers_that_failed_are_presumed_lost_if_most_of_their_zone_serves():
     harness, zone, _ = zone_without_proxies()
     for _ in range(4):
