Failover: one migration at the end in place of three

Need: the choice of a target stood in three branches that each migrated.

Change: the candidates of the last resort are chosen first, then one migration. No order differs.

--- a/havendyke/policy/failover.py
+++ b/havendyke/policy/failover.py
@@ -95,16 +95,14 @@
         others = [server for server in servers if server is not primary]
         pool = [s for s in others if not s.ejected and not self._is_taking_over(s, now_ms)]
         target = self._choose_fitting(slice_, pool)
-        if target is not None:
-            self._migrator.migrate(slice_, target, now_ms)
-        elif primary is None or self._must_leave(primary, now_ms):
-            target = self._choose_last_resort(slice_, others, now_ms)
-            self._migrator.migrate(slice_, target, now_ms)
-        else:
-            better = [server for server in pool if _is_clearly_better(server, primary)]
-            target = self._choose_last_resort(slice_, better, now_ms)
-            if target is not None:
-                self._migrator.migrate(slice_, target, now_ms)
+        if target is None:
+            candidates = others
+            if primary is not None and not self._must_leave(primary, now_ms):
+                candidates = [server for server in pool if _is_clearly_better(server, primary)]
+                if not candidates:
+                    return
+            target = self._choose_last_resort(slice_, candidates, now_ms)
+        self._migrator.migrate(slice_, target, now_ms)
 
     def _must_leave(self, primary: Server, now_ms: float) -> bool:
         """Whether having no server is better for a slice than keeping this one."""
