--- a/fuzz/targets/controllers.py
+++ b/fuzz/targets/controllers.py
@@ -15,8 +15,11 @@
 MIN_STEP_MS = 100.0  # between steps; 200 ms more per unit of the upper four bits
 # Between outages and drains: with shorter intervals the rules may be impossible to keep.
 DISTURBANCE_INTERVAL_MS = 7000.0
-SERVER_REQUESTS_PER_S, ZONES = 100.0, 3
-LEASE_MS, MAX_WRITE_IN_FLIGHT_MS, MAX_EMPTY_TABLE_MS = 800.0, 800.0, 9000.0
+SERVER_REQUESTS_PER_S = 100.0
+ZONES = 3
+LEASE_MS = 800.0
+MAX_WRITE_IN_FLIGHT_MS = 800.0
+MAX_EMPTY_TABLE_MS = 9000.0
 
 
 class JointScenario:
@@ -24,11 +27,14 @@
     could not be kept after it."""
 
     def __init__(self, draw: Draw):
-        count, servers = 2 + draw.below(4), ZONES * (3 + draw.below(3))
-        proxies, slices = 2 + draw.below(5), servers * (3 + draw.below(3))
+        count = 2 + draw.below(4)
+        servers = ZONES * (3 + draw.below(3))
+        proxies = 2 + draw.below(5)
+        slices = servers * (3 + draw.below(3))
         self.exclusive_ownership = draw.flag()
         sampling = draw.choice((Sampling(zones=ZONES), Sampling(2000.0, 6000.0, ZONES, 300.0)))
-        load, seed = draw.choice((0.35, 0.45, 0.55)), draw.byte()
+        load = draw.choice((0.35, 0.45, 0.55))
+        seed = draw.byte()
         limit = 4.0 * proxies * (8 + 6 + 1.6 * slices)
         settings = core.Settings(
             request_classes=[
@@ -61,12 +67,10 @@
         self.group = ControllerGroup(
             settings, count, servers, demand, proxies, bounds, SERVER_REQUESTS_PER_S, sampling, seed
         )
-        self.started_ms, self.proxies, self.undisturbed_from_ms, self.disconnected = (
-            self.group.now,
-            proxies,
-            0.0,
-            set(),
-        )
+        self.started_ms = self.group.now
+        self.proxies = proxies
+        self.undisturbed_from_ms = 0.0
+        self.disconnected = set()
         self.run_for(2000.0)
 
     def begin_disturbance(self) -> bool:
--- a/fuzz/targets/core.py
+++ b/fuzz/targets/core.py
@@ -42,11 +42,9 @@
 
 def check_orders(orders, registry):
     """Checks that orders refer to registered objects and have values that the interface allows."""
-    servers, slices, proxies = (
-        set(registry.servers.values()),
-        set(registry.slices.values()),
-        set(registry.proxies.values()),
-    )
+    servers = set(registry.servers.values())
+    slices = set(registry.slices.values())
+    proxies = set(registry.proxies.values())
     for order in orders:
         match order:
             case core.SetEndpointWeight():
@@ -100,7 +98,8 @@
     def __init__(self, draw, seed):
         self.random_numbers = LinearCongruentialGenerator(seed)
         self.server_count = 5 + draw.below(6)
-        slices_per_server, self.proxy_count = 3 + draw.below(3), 2 + draw.below(4)
+        slices_per_server = 3 + draw.below(3)
+        self.proxy_count = 2 + draw.below(4)
         self.slice_count = slices_per_server * self.server_count
         flags = draw.byte()
         exclusive_ownership = flags & 7 == 7
@@ -146,8 +145,10 @@
     def start(self, registry, rule_checker):
         """Sets up the initial fleet and the events that announce it to the controller of
         `registry`."""
-        self.registry, self.rule_checker = registry, rule_checker
-        self.now_ms, self.data_plane = 100_000.0, DataPlane(self.settings, self.random_numbers.draw)
+        self.registry = registry
+        self.rule_checker = rule_checker
+        self.now_ms = 100_000.0
+        self.data_plane = DataPlane(self.settings, self.random_numbers.draw)
         self.data_plane.now = self.rule_checker.now = self.now_ms
         self.last_server_number = 0
         self.action_serial = 0
@@ -237,7 +238,8 @@
 
     def replace_drained(self, a, b, c):
         if self.draining and self.now_ms - self.drained_at_ms > 3000:
-            drained, self.draining = self.draining, []
+            drained = self.draining
+            self.draining = []
             for server in drained:
                 self.servers[server] = "down"
             self.send_list(self.endpoint_list(core.ListScope.CHANGES, drained, "gone"))
@@ -325,10 +327,8 @@
 
     def slow_channel(self, a, b, c):
         if not self.draining and self.now_ms - self.failed_at_ms > 6000:
-            self.data_plane.slowdown, self.channel_slow_until_ms = (
-                1.0 + a / 128,
-                self.now_ms + b * 20.0,
-            )
+            self.data_plane.slowdown = 1.0 + a / 128
+            self.channel_slow_until_ms = self.now_ms + b * 20.0
             self.schedule(b * 20.0, lambda: setattr(self.data_plane, "slowdown", 1.0))
 
     def stop_reports(self, a, b, c):
@@ -349,7 +349,8 @@
 
     def shift_demand(self, a, b, c):
         slices = list(self.demand)
-        target, average = slices[a % len(slices)], sum(self.demand.values()) / len(slices)
+        target = slices[a % len(slices)]
+        average = sum(self.demand.values()) / len(slices)
         increase = min(average * (b % 4), 0.2 * average * len(slices))
         remaining_demand = sum(
             demand for slice_, demand in self.demand.items() if slice_ is not target
@@ -414,7 +415,8 @@
 
     def request_rates(self):
         """Requests per second that the proxies send to each server."""
-        views, rates = self.data_plane.connected_proxies(), {}
+        views = self.data_plane.connected_proxies()
+        rates = {}
         for view in views:
             for slice_ in self.data_plane.assigned_slices:
                 for server, share in view.traffic_shares(slice_).items():
@@ -630,7 +632,8 @@
 
 
 def arbitrary_event(draw, registry, now):
-    server, slice_ = registry.server(f"s{draw.below(7)}"), registry.slice(draw.below(6))
+    server = registry.server(f"s{draw.below(7)}")
+    slice_ = registry.slice(draw.below(6))
     proxy = registry.proxy(draw.below(5))
     kind = draw.below(12)
     if kind == 0:
@@ -714,7 +717,9 @@
 def run_arbitrary_events(data):
     draw = Draw(data)
     settings = arbitrary_settings(draw)
-    registry, now, digest = ObjectRegistry(settings, 7), 1000.0, hashlib.blake2b(digest_size=12)
+    registry = ObjectRegistry(settings, 7)
+    now = 1000.0
+    digest = hashlib.blake2b(digest_size=12)
     while not draw.exhausted:
         now += draw.choice((0.0, 1.0, 50.0, 250.0, 1000.0, 5000.0, 1e7))
         registry.pending_events = [
--- a/fuzz/targets/machines.py
+++ b/fuzz/targets/machines.py
@@ -40,17 +40,14 @@
             {name: listed_server(name) for name in SERVERS},
             **limits,
         )
-        self.assigner, self.event_loop, self.steps = (
-            self.simulation.assigner,
-            self.simulation.event_loop,
-            steps,
-        )
-        self.relay, self.discovery, self.last_server_number = (
-            self.simulation.relay,
-            self.simulation.discovery,
-            0,
-        )
-        self.started_ms, self.addresses = self.event_loop.time, ADDRESSES[0]
+        self.assigner = self.simulation.assigner
+        self.event_loop = self.simulation.event_loop
+        self.steps = steps
+        self.relay = self.simulation.relay
+        self.discovery = self.simulation.discovery
+        self.last_server_number = 0
+        self.started_ms = self.event_loop.time
+        self.addresses = ADDRESSES[0]
         self.check_retries()
         prepare(self.assigner)
         self.assigner.start()
@@ -96,8 +93,11 @@
         self.settle()
 
     def settle(self):
-        self.relay.call_outcome, self.relay.down, self.discovery.down = "answered", False, False
-        self.simulation.health_check_reply, self.simulation.refused_ports = "ok", set()
+        self.relay.call_outcome = "answered"
+        self.relay.down = False
+        self.discovery.down = False
+        self.simulation.health_check_reply = "ok"
+        self.simulation.refused_ports = set()
         # A delayed connection receives messages faster than it delivers them and never catches up.
         for peer in self.relay.open_watches():
             peer.deliver_delayed()
@@ -120,10 +120,8 @@
         check(not failed, "a failure:", failed[:2])
         ended = [c for c in self.assigner.collectors.clients if c.connection.ended]
         check(not ended, len(ended), "closed connections are still counted as clients")
-        slots, deadlines = (
-            len(self.event_loop.slots),
-            sum(d.callback is not None for d in self.event_loop.deadlines.heap),
-        )
+        slots = len(self.event_loop.slots)
+        deadlines = sum(d.callback is not None for d in self.event_loop.deadlines.heap)
         check(
             slots <= MAX_IDLE_SLOTS + len(self.assigner.registry.servers),
             slots,
@@ -225,7 +223,8 @@
     def delay_table_entries(self, a, b, c):
         """A slice assignment whose table entries arrive late and one by one, as does everything
         sent after them."""
-        slice_id, watches = a % 8, self.relay.open_watches()
+        slice_id = a % 8
+        watches = self.relay.open_watches()
         if not watches or slice_id not in self.relay.assigned_slices:
             return
         self.relay.notify("GRANT", watches[0], partition=slice_id, yes=True)
@@ -489,10 +488,16 @@
     max_size=400,
 )
 def deadlines(data):
-    draw, queue, expected, fired, now = Draw(data), DeadlineQueue(), [], [], 0.0
-    handles, serial = [], 0
+    draw = Draw(data)
+    queue = DeadlineQueue()
+    expected = []
+    fired = []
+    now = 0.0
+    handles = []
+    serial = 0
     while not draw.exhausted:
-        kind, value = draw.below(4), draw.byte()
+        kind = draw.below(4)
+        value = draw.byte()
         if kind in (0, 3):
             at = now + value % 32 * (1 if kind == 0 else 0.25)
             handles.append(queue.add(at, lambda k=serial: fired.append(k)))
@@ -527,7 +532,9 @@
     seeds=lambda: [bytes([0, 0] * 6 + [1, 2, 1, 2, 0, 0]), bytes([1, 0, 0, 1, 0, 2])],
 )
 def slots(data):
-    draw, table, acquired = Draw(data), SlotTable(5), {}
+    draw = Draw(data)
+    table = SlotTable(5)
+    acquired = {}
     while not draw.exhausted:
         if draw.flag():
             number = draw.below(5)
@@ -560,7 +567,8 @@
     max_size=40,
 )
 def events(data):
-    draw, reconciliations = Draw(data), [0]
+    draw = Draw(data)
+    reconciliations = [0]
     fails_at_first = draw.flag()  # the very first reconciliation fails
 
     def wrap_reconcile(assigner):
@@ -581,7 +589,8 @@
     assigner = peer_faults.assigner
     server = assigner.registry.server("s1")
     while not draw.exhausted:
-        kind, number = draw.below(4), draw.byte() % 6
+        kind = draw.below(4)
+        number = draw.byte() % 6
         if kind < 2:
             assigner.notify(core.HealthCheckResult(server, "odd", 1.0))
         if kind > 0:
--- a/havendyke/lab/cold_start.py
+++ b/havendyke/lab/cold_start.py
@@ -64,13 +64,12 @@
     def __init__(
         self, settings, overload_window_ms: float, load_tolerance: float, warm_capacity: float
     ):
-        self.settings, self.overload_window_ms, self.load_tolerance, self.warm_capacity = (
-            settings,
-            overload_window_ms,
-            load_tolerance,
-            warm_capacity,
-        )
-        self.windows, self.starts = {}, {}
+        self.settings = settings
+        self.overload_window_ms = overload_window_ms
+        self.load_tolerance = load_tolerance
+        self.warm_capacity = warm_capacity
+        self.windows = {}
+        self.starts = {}
 
     def allowed(self, size: float, age: float) -> float:
         """The most requests per second that a server of this age (ms) serves without a failure."""
--- a/havendyke/lab/controllers.py
+++ b/havendyke/lab/controllers.py
@@ -48,18 +48,24 @@
     def __init__(
         self, number: int, count: int, settings, bounds: Bounds, warm_capacity: float, seed: int
     ):
-        self.number, self.random_numbers = number, LinearCongruentialGenerator(seed)
+        self.number = number
+        self.random_numbers = LinearCongruentialGenerator(seed)
         self.registry = ObjectRegistry(
             replace(settings, controller_count=count, controller_index=number), seed
         )
         self.plane = DataPlane(settings, self.random_numbers.draw)
         self.rules = RuleChecker(settings, bounds, warm_capacity)
         self.plane.now = self.rules.now = START_MS
-        self.inbox, self.timers, self.histories, self.lost_at = [], [], {}, None
+        self.inbox = []
+        self.timers = []
+        self.histories = {}
+        self.lost_at = None
         self.first_reconciliation_at = (
             START_MS + FIRST_RECONCILIATIONS_MS * self.random_numbers.draw()
         )
-        self.next_report_at, self.report_counts, self.max_acknowledgement_ms = {}, {}, 0.0
+        self.next_report_at = {}
+        self.report_counts = {}
+        self.max_acknowledgement_ms = 0.0
 
     def receive_list(self, now: float, scope: str, listed):
         """Receives an endpoint list, or changes of it."""
@@ -102,10 +108,10 @@
         if not self.inbox and not fired:
             return []
         self.timers = [timer for timer in self.timers if timer[0] > now]
-        self.registry.pending_events, self.inbox = (
-            self.inbox + [core.TimerFired(timer_id) for _, timer_id in fired],
-            [],
-        )
+        self.registry.pending_events = self.inbox + [
+            core.TimerFired(timer_id) for _, timer_id in fired
+        ]
+        self.inbox = []
         orders = self.registry.reconcile(now)
         self.timers += [
             (now + order.delay_ms, order.timer_id)
@@ -156,32 +162,29 @@
         on_orders=lambda replica, now, orders: None,
         step_ms: float = STEP_MS,
     ):
-        self.settings, self.bounds, self.warm_capacity, self.sampling, self.step_ms = (
-            settings,
-            bounds,
-            warm_capacity,
-            sampling,
-            step_ms,
-        )
-        self.demand, self.now, self.on_orders, self.random_numbers = (
-            demand,
-            START_MS,
-            on_orders,
-            LinearCongruentialGenerator(seed),
-        )
+        self.settings = settings
+        self.bounds = bounds
+        self.warm_capacity = warm_capacity
+        self.sampling = sampling
+        self.step_ms = step_ms
+        self.demand = demand
+        self.now = START_MS
+        self.on_orders = on_orders
+        self.random_numbers = LinearCongruentialGenerator(seed)
         self.replicas = [
             Replica(k, count, settings, bounds, warm_capacity, seed + 7919 * k)
             for k in range(count)
         ]
-        self.servers, self.scheduled_calls, self.call_count, self.utilization = {}, [], 0, {}
+        self.servers = {}
+        self.scheduled_calls = []
+        self.call_count = 0
+        self.utilization = {}
         self.budget = ColdStartBudget(
             settings, bounds.overload_window_ms, bounds.load_tolerance, warm_capacity
         )
-        self.writes, self.overload_failures, self.joint_violations = (
-            WriteOverlap(settings.max_write_in_flight_ms),
-            [],
-            [],
-        )
+        self.writes = WriteOverlap(settings.max_write_in_flight_ms)
+        self.overload_failures = []
+        self.joint_violations = []
         names = [self.add_server(None).name for _ in range(servers)]
         self.send_list_to_all(core.ListScope.COMPLETE, [self.list_entry(name) for name in names])
         for number in demand:
@@ -205,7 +208,9 @@
     def start(self, name: str):
         """A server that was down answers again, cold."""
         server = self.servers[name]
-        server.up, server.started, server.failed = True, self.now, False
+        server.up = True
+        server.started = self.now
+        server.failed = False
 
     def list_entry(self, name: str, state: str = "ready") -> ListedServer:
         """A server's entry in a list that is correct now."""
@@ -292,7 +297,8 @@
 
     def observe_proxies(self):
         """Checks the rules and records the requests of the last step."""
-        load, writers = {}, {}
+        load = {}
+        writers = {}
         cold = [server for server in self.servers.values() if server.started is not None]
         for replica in self.running():
             demand = {slice_: self.demand[slice_.id] for slice_ in replica.plane.assigned_slices}
@@ -300,7 +306,8 @@
             observation = replica.rules.observe(self.now, replica.plane, demand, started)
             for server, sent in observation.load.items():
                 total = load.setdefault(server.id, SentLoad())
-                total.total, total.known = total.total + sent.total, total.known + sent.known
+                total.total = total.total + sent.total
+                total.known = total.known + sent.known
             for slice_, servers in observation.writers.items():
                 writers.setdefault(slice_.id, set()).update(server.id for server in servers)
             self.record_requests(replica, observation.load)
@@ -337,7 +344,8 @@
         )
         if failure is None:
             return
-        server.up, server.failed = False, True
+        server.up = False
+        server.failed = True
         self.overload_failures.append(failure)
         if failure.breaks_rule:
             self.record_violation(
@@ -363,7 +371,8 @@
     def record_requests(self, replica: Replica, load: dict):
         """Records the requests of a controller's proxies to the servers in the last step."""
         for server, sent in load.items():
-            target, utilization = self.servers[server.id], self.utilization.get(server.id, 0.0)
+            target = self.servers[server.id]
+            utilization = self.utilization.get(server.id, 0.0)
             attempts = sent.total * self.step_ms / 1000.0
             failures = attempts * failed_share(utilization) if target.up else attempts
             history = replica.histories.setdefault(server, RequestHistory())
--- a/havendyke/lab/data_plane.py
+++ b/havendyke/lab/data_plane.py
@@ -61,10 +61,16 @@
     takes to read the store."""
 
     def __init__(self, settings, draw, read_delay_ms=(100.0, 500.0)):
-        self.settings, self.draw, self.read_delay_ms = settings, draw, read_delay_ms
-        self.now, self.slowdown, self.free_at = 0.0, 1.0, 0.0
+        self.settings = settings
+        self.draw = draw
+        self.read_delay_ms = read_delay_ms
+        self.now = 0.0
+        self.slowdown = 1.0
+        self.free_at = 0.0
         self.proxies, self.store, self.assigned_slices = {}, {}, {}  # assigned: slices, since when
-        self.channel, self.in_flight, self.pending_reads = deque(), [], []
+        self.channel = deque()
+        self.in_flight = []
+        self.pending_reads = []
         self.message_times, self.admission_orders = {}, {}  # by proxy; by request classes
 
     def proxy_state(self, proxy) -> ProxyState:
@@ -78,16 +84,15 @@
     def connect(self, proxy, zone, rate, fresh):
         """Begins a stream; `fresh`: the proxy has just started and kept no state."""
         state = self.proxy_state(proxy)
-        state.connected, state.zone, state.rate, state.connected_at, state.bound_tables = (
-            True,
-            zone,
-            rate,
-            self.now,
-            {},
-        )
+        state.connected = True
+        state.zone = zone
+        state.rate = rate
+        state.connected_at = self.now
+        state.bound_tables = {}
         state.stream += 1
         if fresh:
-            state.ejected, state.admission = set(), {}
+            state.ejected = set()
+            state.admission = {}
         if self.settings.slice_count:
             state.read_at = self.now + self.between(*self.read_delay_ms)
             self.pending_reads.append((state.read_at, state, state.stream, None))
@@ -132,7 +137,9 @@
     def apply_orders(self, orders: list):
         """Carries out the orders of one reconciliation: the store changes at once, proxies when
         their message arrives."""
-        accepted, bindings, request = [], {}, None
+        accepted = []
+        bindings = {}
+        request = None
         for o in orders:
             match o:
                 case core.SetEndpointWeight() | core.ClearTable():
@@ -221,7 +228,9 @@
 
     def advance(self, now: float) -> list:
         """Advances the time to `now`; returns the acknowledgements until then, in order."""
-        self.now, acknowledgements, due = now, [], []
+        self.now = now
+        acknowledgements = []
+        due = []
         while self.channel and self.channel[0].leaves_at <= now:
             self.in_flight.append(self.channel.popleft())
         for m in self.in_flight:
@@ -253,7 +262,8 @@
 
     def deliver(self, message):
         """Applies a message at its proxy."""
-        state, state.last_message_ordered_at = message.recipient, message.ordered_at
+        state = message.recipient
+        state.last_message_ordered_at = message.ordered_at
         for o in message.orders:
             match o:
                 case core.SetEndpointWeight() | core.ClearTable():
--- a/havendyke/lab/event_loop.py
+++ b/havendyke/lab/event_loop.py
@@ -17,13 +17,11 @@
     `on_abort()` when the connection is aborted."""
 
     def __init__(self, on_write=None, on_abort=None):
-        self.written, self.aborted, self.unread, self.on_write, self.on_abort = (
-            b"",
-            False,
-            0,
-            on_write,
-            on_abort,
-        )
+        self.written = b""
+        self.aborted = False
+        self.unread = 0
+        self.on_write = on_write
+        self.on_abort = on_abort
         self.paused = False
 
     def write(self, data: bytes):
@@ -65,23 +63,19 @@
 
     def __init__(self, **limits):
         self.limits = replace(Limits(), **limits)
-        self.counters, self.logged, self.time, self.connections, self.pending_callbacks = (
-            {},
-            [],
-            1000.0,
-            [],
-            [],
-        )
-        self.deadlines, self.slots, self.loop = (
-            DeadlineQueue(),
-            SlotTable(self.limits.max_connections),
-            self,
-        )
-        self.buffer_budget, self.started_s, self.on_connect = BufferBudget(1e6), 0.0, None
-        self.discard_buffer, self.lingering_connections = (
-            bytearray(self.limits.initial_buffer_bytes),
-            0,
-        )
+        self.counters = {}
+        self.logged = []
+        self.time = 1000.0
+        self.connections = []
+        self.pending_callbacks = []
+        self.deadlines = DeadlineQueue()
+        self.slots = SlotTable(self.limits.max_connections)
+        self.loop = self
+        self.buffer_budget = BufferBudget(1e6)
+        self.started_s = 0.0
+        self.on_connect = None
+        self.discard_buffer = bytearray(self.limits.initial_buffer_bytes)
+        self.lingering_connections = 0
 
     def log(self, event, **fields):
         """Keeps the log record."""
--- a/havendyke/lab/host.py
+++ b/havendyke/lab/host.py
@@ -18,8 +18,12 @@
 
     def __init__(self, raw: dict, entries: dict):
         self.raw = raw
-        self.storage, self.wall, self.boot, self.entries = Storage(), 1.7e12, 1, dict(entries)
-        names, count = list(entries), raw["settings"]["familyInfo"]["keyRanges"]
+        self.storage = Storage()
+        self.wall = 1.7e12
+        self.boot = 1
+        self.entries = dict(entries)
+        names = list(entries)
+        count = raw["settings"]["familyInfo"]["keyRanges"]
         self.store = {k: {names[k % len(names)]: 1.0} for k in range(count)}
         self.since = 5000.0
 
@@ -33,7 +37,10 @@
         self.entries |= entries
 
         def make(event_loop):
-            began, wall, boot, since = event_loop.time, self.wall, f"boot-{self.boot}", self.since
+            began = event_loop.time
+            wall = self.wall
+            boot = f"boot-{self.boot}"
+            since = self.since
             clock = lambda: Timestamp(  # noqa: E731
                 wall + event_loop.time - began, boot, since + event_loop.time - began
             )
--- a/havendyke/lab/peers.py
+++ b/havendyke/lab/peers.py
@@ -13,7 +13,8 @@
 LATE_APPLY_MS = 45.0  # a call without a reply is carried out within this, or never
 REPLY_DELAY_MS = 2.0
 ACKNOWLEDGEMENT_DELAY_MS = 300.0  # from a call to the acknowledgements of its nonce
-RELAY_PING_MS, DISCOVERY_KEEPALIVE_MS = 1000.0, 2000.0
+RELAY_PING_MS = 1000.0
+DISCOVERY_KEEPALIVE_MS = 2000.0
 CALL_OUTCOMES = (
     "answered",
     "closed_applied",
@@ -35,13 +36,11 @@
     assigner writes."""
 
     def __init__(self, simulation, connection):
-        self.simulation, self.connection, self.read, self.silent, self.aborted = (
-            simulation,
-            connection,
-            0,
-            False,
-            False,
-        )
+        self.simulation = simulation
+        self.connection = connection
+        self.read = 0
+        self.silent = False
+        self.aborted = False
         self.delayed = None  # messages that are delayed, in order; None: messages arrive at once
 
     def establish(self):
@@ -61,7 +60,8 @@
             return
         written = self.connection.transport.written
         while not self.silent and (stop := written.find(b"\n", self.read)) >= 0:
-            line, self.read = written[self.read : stop], stop + 1
+            line = written[self.read : stop]
+            self.read = stop + 1
             self.receive_line(line)
 
     def send(self, data: bytes):
@@ -81,13 +81,15 @@
 
     def deliver_delayed(self):
         """Delivers all delayed messages and delays no more."""
-        messages, self.delayed = self.delayed, None
+        messages = self.delayed
+        self.delayed = None
         for data in messages or ():
             self.send(data)
 
     def deliver_next(self, interval_ms):
         """Delivers the first delayed message."""
-        messages, self.delayed = self.delayed, None
+        messages = self.delayed
+        self.delayed = None
         if messages is None:
             return
         if messages:
@@ -122,10 +124,16 @@
     state."""
 
     def __init__(self, simulation, store: dict, proxies):
-        self.simulation, self.store, self.call_outcome = simulation, store, "answered"
-        self.assigned_slices, self.connected_proxies = set(store), set(proxies)
+        self.simulation = simulation
+        self.store = store
+        self.call_outcome = "answered"
+        self.assigned_slices = set(store)
+        self.connected_proxies = set(proxies)
         self.ejected = {proxy: set() for proxy in proxies}
-        self.peers, self.watchers, self.applied_calls, self.down = [], [], 0, False
+        self.peers = []
+        self.watchers = []
+        self.applied_calls = 0
+        self.down = False
         simulation.after(RELAY_PING_MS, self.ping)
 
     def ping(self):
@@ -200,7 +208,8 @@
                 self.send_table(slice_id, peer)
             self.watchers.append(peer)
             return
-        orders, outcome = request["params"]["orders"], self.call_outcome
+        orders = request["params"]["orders"]
+        outcome = self.call_outcome
         if outcome in (
             "answered",
             "closed_applied",
@@ -262,7 +271,8 @@
 class DiscoveryPeer(Peer):
     """Discovery's end of a connection; `sent_version`: that of the last list it sent."""
 
-    follow, sent_version = None, 0
+    follow = None
+    sent_version = 0
 
     def receive_line(self, line):
         """Reads a line of a request; the empty one ends it."""
@@ -281,8 +291,14 @@
     `garbage_reply`: bytes that are sent in place of every reply."""
 
     def __init__(self, simulation, entries: dict):
-        self.simulation, self.entries, self.version, self.changed = simulation, entries, 1, {}
-        self.watchers, self.down, self.corrupt_fields, self.garbage_reply = [], False, None, b""
+        self.simulation = simulation
+        self.entries = entries
+        self.version = 1
+        self.changed = {}
+        self.watchers = []
+        self.down = False
+        self.corrupt_fields = None
+        self.garbage_reply = b""
         simulation.after(DISCOVERY_KEEPALIVE_MS, self.send_keepalive)
 
     def send_keepalive(self):
@@ -309,7 +325,8 @@
         ]
         entries = [e for e in entries if not complete or e["state"] != "terminated"]
         if self.corrupt_fields and entries:
-            entries, self.corrupt_fields = [entries[0] | self.corrupt_fields, *entries[1:]], None
+            entries = [entries[0] | self.corrupt_fields, *entries[1:]]
+            self.corrupt_fields = None
         return orjson.dumps({"rev": self.version, "all": complete, "targets": entries})
 
     def handle_request(self, peer):
@@ -345,7 +362,8 @@
     def restart(self):
         """Restarts without its history: versions begin at 1, watches end, and the next request is
         answered with the complete list."""
-        self.version, self.changed = 1, dict.fromkeys(self.entries, 1)
+        self.version = 1
+        self.changed = dict.fromkeys(self.entries, 1)
         for watcher in self.open_watches():
             watcher.close()
 
@@ -365,22 +383,20 @@
     `health_check_reply`: how servers answer health checks. `refused_ports`: ports that refuse
     connections."""
 
-    relay_type, discovery_type = Relay, Discovery
+    relay_type = Relay
+    discovery_type = Discovery
 
     def __init__(
         self, make, store: dict, entries: dict, proxies=range(6), event_loop=None, **limits
     ):
         """`event_loop`: used in place of a new `SimulatedEventLoop` with these limits."""
-        self.deadlines, self.event_loop = (
-            DeadlineQueue(),
-            event_loop or SimulatedEventLoop(**limits),
-        )
+        self.deadlines = DeadlineQueue()
+        self.event_loop = event_loop or SimulatedEventLoop(**limits)
         self.event_loop.on_connect = self.connect_peer
-        self.relay, self.discovery = (
-            self.relay_type(self, store, proxies),
-            self.discovery_type(self, entries),
-        )
-        self.health_check_reply, self.refused_ports = "ok", set()
+        self.relay = self.relay_type(self, store, proxies)
+        self.discovery = self.discovery_type(self, entries)
+        self.health_check_reply = "ok"
+        self.refused_ports = set()
         self.assigner = make(self.event_loop)
         self.clients = []
 
@@ -393,7 +409,8 @@
 
     def connect_peer(self, connection):
         """Connects the peer that the assigner dials, or refuses the connection."""
-        name, port = connection.peer.name, connection.address[1]
+        name = connection.peer.name
+        port = connection.address[1]
         peer_type = {
             "relay": RelayPeer,
             "relay_watch": RelayPeer,
@@ -431,10 +448,8 @@
         end = self.event_loop.time + ms
         self.event_loop.run()
         while True:
-            peers_at, assigner_at = (
-                self.deadlines.next_at_ms(),
-                self.event_loop.deadlines.next_at_ms(),
-            )
+            peers_at = self.deadlines.next_at_ms()
+            assigner_at = self.event_loop.deadlines.next_at_ms()
             at = min(x for x in (peers_at, assigner_at, end + 1) if x is not None)
             if at > end:
                 break
@@ -465,11 +480,11 @@
         """Where the controller's state and the relay's differ, in words.
 
         Empty once everything has settled."""
-        c, relay, differences = self.assigner.registry.controller, self.relay, []
-        connected, assigned = (
-            {p.id for p in c.proxies if p.connected},
-            {s.id for s in c.slices if s.assigned},
-        )
+        c = self.assigner.registry.controller
+        relay = self.relay
+        differences = []
+        connected = {p.id for p in c.proxies if p.connected}
+        assigned = {s.id for s in c.slices if s.assigned}
         if connected != relay.connected_proxies:
             differences.append(
                 f"proxies {sorted(connected)} in place of {sorted(relay.connected_proxies)}"
--- a/havendyke/lab/rules.py
+++ b/havendyke/lab/rules.py
@@ -68,22 +68,23 @@
     not the rule was broken."""
 
     def __init__(self, settings, bounds: Bounds = Bounds(), warm_capacity: float = 1.0):
-        self.settings, self.bounds, self.warm_capacity, self.now = (
-            settings,
-            bounds,
-            warm_capacity,
-            0.0,
-        )
-        self.state, self.size, self.started, self.start_listed_at = {}, {}, {}, {}
-        self.unavailable_at, self.empty_at, self.channel_lost_at = {}, {}, None
+        self.settings = settings
+        self.bounds = bounds
+        self.warm_capacity = warm_capacity
+        self.now = 0.0
+        self.state = {}
+        self.size = {}
+        self.started = {}
+        self.start_listed_at = {}
+        self.unavailable_at = {}
+        self.empty_at = {}
+        self.channel_lost_at = None
         self.budget = ColdStartBudget(
             settings, bounds.overload_window_ms, bounds.load_tolerance, warm_capacity
         )
-        self.writes, self.violations, self.overload_failures = (
-            WriteOverlap(settings.max_write_in_flight_ms),
-            [],
-            [],
-        )
+        self.writes = WriteOverlap(settings.max_write_in_flight_ms)
+        self.violations = []
+        self.overload_failures = []
 
     def record_violation(self, rule, *parts):
         """Records a violation; its message is the parts, joined by spaces."""
@@ -126,7 +127,8 @@
         if not available:
             self.channel_lost_at = now if self.channel_lost_at is None else self.channel_lost_at
         elif self.channel_lost_at is not None:
-            suspended, self.channel_lost_at = now - self.channel_lost_at, None
+            suspended = now - self.channel_lost_at
+            self.channel_lost_at = None
             for times in (self.unavailable_at, self.empty_at):
                 for key in times:
                     times[key] += suspended
@@ -176,8 +178,10 @@
 
         `started`: the servers' last starts, where they are not those of this controller's list."""
         started = started or {}
-        self.now, observation = now, Observation()
-        states, slices = plane.connected_proxies(), plane.assigned_slices
+        self.now = now
+        observation = Observation()
+        states = plane.connected_proxies()
+        slices = plane.assigned_slices
         total_rate = sum(s.rate for s in states) or 1.0
         is_any_warm = any(
             listed == "ready" and now - self.started[s] >= self.settings.warm_up_ms
--- a/havendyke/lab/write_overlap.py
+++ b/havendyke/lab/write_overlap.py
@@ -5,12 +5,14 @@
     """`max_in_flight_ms`: a write ends within this after its server accepted it."""
 
     def __init__(self, max_in_flight_ms: float):
-        self.max_in_flight_ms, self.last_write_at = max_in_flight_ms, {}
+        self.max_in_flight_ms = max_in_flight_ms
+        self.last_write_at = {}
 
     def observe(self, now: float, slice_, servers) -> list:
         """Records that these servers get writes of the slice now; returns the pairs of servers
         whose writes may overlap."""
-        last_write_at, pairs = self.last_write_at.setdefault(slice_, {}), []
+        last_write_at = self.last_write_at.setdefault(slice_, {})
+        pairs = []
         for server in servers:
             pairs += [
                 (server, other)
