Zone loss: silent collectors do not withdraw the suspicion of a loss

Need, found on reading the change again: where a zone's proxies have disconnected and no report shows a failure by the time at which one must have, the zone counts as not lost. That also held while no reports arrived at all, as with late reports or silent collectors, and said nothing of the servers.

Change: the time counts only while reports on some server arrive.

--- a/havendyke/policy/zone_loss.py
+++ b/havendyke/policy/zone_loss.py
@@ -7,7 +7,7 @@
 - almost all proxies of the zone have disconnected. They disconnect at once, seconds before the
   first report, but say nothing of the servers: the proxies may have lost the relay alone. This sign
   is therefore withdrawn as soon as load reports show that the servers have served without a break,
-  and when no report has shown a failure by the time at which one must have.
+  and when reports arrive, but none has shown a failure by the time at which one must have.
 """
 
 from collections import defaultdict
@@ -68,7 +68,7 @@
     since_ms: float
     last_sign_ms: float
     signs: LossSigns
-    reports_have_failed: bool = False  # the sign has held, not only the one of the proxies
+    reports_have_failed: bool = False  # the sign `reports_failing` has held since then
     refuted: bool = False  # the proxies disconnected, but the servers serve
     failed_servers: set[Server] = field(default_factory=set)
     # Not reported for some time, in which they may have restarted.
@@ -179,13 +179,18 @@
         servers_of: dict[int, list[Server]] = defaultdict(list)
         for server in candidates:
             servers_of[server.zone].append(server)
+        reports_arrive = any(
+            _is_reported_since(server, now_ms - self._report_window_ms) for server in candidates
+        )
         for zone, suspected in self._suspected.items():
             servers = servers_of[zone]
             self._observe(suspected, servers, now_ms)
             serving = [server for server in servers if suspected.has_served(server)]
             if not suspected.reports_have_failed:
-                suspected.refuted = suspected.refuted or self._is_refuted(
-                    suspected, len(serving), now_ms
+                suspected.refuted = (
+                    suspected.refuted
+                    or len(serving) > len(suspected.failed_servers)
+                    or (reports_arrive and self._lacks_due_failure(suspected, now_ms))
                 )
             for server in servers if suspected.refuted else serving:
                 if server not in suspected.failed_servers:
@@ -199,10 +204,10 @@
             if not _is_reported_since(server, now_ms - self._report_window_ms):
                 suspected.unobserved_servers.add(server)
 
-    def _is_refuted(self, suspected: SuspectedLoss, serving_count: int, now_ms: float) -> bool:
-        if not suspected.failed_servers and now_ms - suspected.since_ms > self._failure_due_ms:
-            return True
-        return serving_count > len(suspected.failed_servers)
+    def _lacks_due_failure(self, suspected: SuspectedLoss, now_ms: float) -> bool:
+        """Whether no report shows a failure although one would have arrived by now."""
+        overdue = now_ms - suspected.since_ms > self._failure_due_ms
+        return overdue and not suspected.failed_servers
 
     def _mark(self, candidates: Sequence[Server], now_ms: float) -> None:
         lost = {zone: each for zone, each in self._suspected.items() if each.indicates_loss}
--- a/tests/policy/test_zone_loss.py
+++ b/tests/policy/test_zone_loss.py
@@ -382,14 +382,23 @@
 
 def test_a_loss_without_any_report_of_a_failure_is_withdrawn():
     harness, zone, _ = zone_without_proxies()
-    harness.advance(8_000.0)
-    harness.evaluate_health()
+    others = [server for server in harness.servers if server not in zone]
+    harness.advance(7_000.0)
+    report_serving(harness, others)
     assert harness.servers_warming_up() == zone
-    harness.advance(2_000.0)
-    harness.evaluate_health()
+    harness.advance(1_000.0)
+    report_serving(harness, others)
     assert harness.servers_warming_up() == []
 
 
+def test_a_loss_is_not_withdrawn_while_no_reports_arrive_at_all():
+    # The servers counted as warm only because the collectors were silent.
+    harness, zone, _ = zone_without_proxies()
+    harness.advance(10_000.0)
+    harness.evaluate_health()
+    assert harness.servers_warming_up() == zone
+
+
 def test_proxies_that_disconnect_again_are_a_new_sign():
     harness, zone, proxies = zone_without_proxies()
     for _ in range(4):
