--- a/havendyke/net/warm_up_log.py
+++ b/havendyke/net/warm_up_log.py
@@ -1,12 +1,21 @@
 """Logs the slices of servers that warm up, with the load that slow start admits."""
 
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 
 from ..state import WARMING_UP, Server
 from ..state.server import LONG_AGO_MS
 from .event_loop import EventLoop
 
 
+class StartSource(StrEnum):
+    """Where the start of a server that warms up is known from."""
+
+    LISTED = "listed"
+    ASSUMED = "assumed"  # of a server in a cached endpoint list
+    PRESUMED = "presumed"  # of a server in a lost zone
+
+
 class WarmUpLog:
     """Logs each server that warms up when its slices have changed, and when it loses the last."""
 
@@ -32,13 +41,13 @@
         self._logged = current
 
     def _log(self, server: Server, slice_ids: list[int], admissible_load: float) -> None:
-        started_ms, start = _start_of(server)
+        started_ms = max(server.zone_lost_ms, _listed_start_ms(server))
         succeeded, failed = server.attempt_outcomes.bins
         self._event_loop.log(
             "server_warming_up",
             server=server.id,
             age_ms=round(self._event_loop.now() - started_ms),
-            start=start,
+            start=_start_source(server),
             slices=slice_ids,
             load=round(server.assigned_load, 2),
             admissible_load=round(admissible_load, 2),
@@ -47,9 +56,11 @@
         )
 
 
-def _start_of(server: Server) -> tuple[float, str]:
-    """The start that a server counts as warming up from, and where it is known from."""
-    listed_ms = server.started_ms if server.started_ms is not None else LONG_AGO_MS
-    if server.zone_lost_ms > listed_ms:
-        return server.zone_lost_ms, "presumed"
-    return listed_ms, "assumed" if server.start_assumed else "listed"
+def _listed_start_ms(server: Server) -> float:
+    return server.started_ms if server.started_ms is not None else LONG_AGO_MS
+
+
+def _start_source(server: Server) -> StartSource:
+    if server.zone_lost_ms > _listed_start_ms(server):
+        return StartSource.PRESUMED
+    return StartSource.ASSUMED if server.start_assumed else StartSource.LISTED
